--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,835 @@
+// Package balance decides for a proxy before groups of one primary and its replicas: which server gets a
+// request, when servers are polled, and when a request is tried again, held or shed. The ordinary path
+// follows "Ratis - A Redis Proxy"; docs/design.md lists what was kept and each exception. This file holds
+// every decision and tuned value; api.go holds the types that go in and out.
+package balance
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Tuned values. None comes from a deployment; times are derived from the start settings or observed.
+const (
+	failureLimit   = 2    // failed polls in a row until a server is down (step 1)
+	pollJitter     = 0.4  // random part of a poll's wait, in intervals (step 1)
+	pollCap        = 5    // longest wait between polls, in intervals (step 1)
+	startLimit     = 6.0  // outstanding requests a server may hold before its answers have told more
+	leastLimit     = 2.0  // the limit never falls below this
+	limitCut       = 0.9  // the limit's factor after an answer near its target
+	nearTarget     = 0.8  // share of the target at which an answer counts as near it
+	fallbackShare  = 0.6  // part of the primary's limit open to reads that replicas could serve
+	writeShare     = 2.0  // part of the primary's limit open to writes
+	patienceFactor = 3.0  // a server is silent after this many mean latencies without an answer
+	latencyWeight  = 0.05 // weight of a new answer in the mean latency
+	retryShare     = 0.2  // retry budget earned by each first attempt
+	retryBurst     = 20.0 // most retry budget kept
+	logLines       = 100  // log lines a router may write in its life
+	forget         = 60 * time.Second
+)
+
+// Router makes the decisions of one driver. It is not safe for concurrent use.
+type Router struct {
+	cfg      Config
+	rng      *rand.Rand
+	now      time.Duration
+	acts     []Action
+	servers  map[ServerID]*server
+	groups   map[int]*group
+	order    []*group // groups in order of first mention
+	open     map[RequestID]*request
+	queue    []*request // open requests in order of arrival
+	held     []*request // scratch
+	sessions map[uint64]time.Duration
+	floor    time.Duration // the newest commit among forgotten sessions
+	pruned   time.Duration
+	budget   float64
+	turn     uint64
+	interval time.Duration
+	sweepGap time.Duration
+	swept    time.Duration
+	kick     bool // something changed that may let held requests go
+	askAt    time.Duration
+	armed    time.Duration
+	token    uint64
+	logs     int
+}
+
+type group struct {
+	members []*server // by ID
+	primary *server   // last named by the newest poll or answer
+	claim   time.Duration
+	named   time.Duration // when the newest poll that named the primary was sent
+	latency float64       // mean of answers, ns
+	warm    float64       // mean recent sends to a warm member
+}
+
+type flight struct {
+	id      RequestID
+	attempt int
+	sent    time.Duration
+}
+
+type server struct {
+	id       ServerID
+	group    *group
+	zone     int
+	life     Life
+	toldAt   time.Duration
+	started  time.Duration
+	position time.Duration // the highest told
+	denied   time.Duration // when it last said that it is no primary
+	polled   bool          // answered a poll since it last failed
+	fails    int
+	polling  bool
+	reset    bool
+	nextPoll time.Duration
+	out      []flight
+	limit    float64
+	cutAt    time.Duration
+	answered time.Duration
+	mute     int // attempts given up in silence since its last answer
+	trialAt  time.Duration
+	count    float64 // recent sends, decayed
+	countAt  time.Duration
+	turn     uint64
+}
+
+type request struct {
+	id       RequestID
+	class    *Class
+	group    *group
+	key      uint64
+	arrived  time.Duration
+	deadline time.Duration
+	need     time.Duration // position that a session read must see
+	sends    int
+	out      int
+	ran      bool          // an ended attempt may have run
+	since    time.Duration // send of the first attempt that may have run
+	after    time.Duration // a poll sent later must name the primary
+	last     *server
+	pulled   bool
+	missed   bool
+	streamed bool
+	done     bool
+}
+
+// New returns a router that knows nothing yet. An unusable Config is an error.
+func New(cfg Config, seed uint64) (*Router, error) {
+	if len(cfg.Classes) == 0 {
+		return nil, errors.New("balance: no classes")
+	}
+	least := cfg.Classes[0].Target
+	for _, c := range cfg.Classes {
+		if c.Target <= 0 || c.Deadline < c.Target {
+			return nil, fmt.Errorf("balance: class %q: target %v, deadline %v", c.Name, c.Target, c.Deadline)
+		}
+		least = min(least, c.Target)
+		if c.Need == NeedBounded && c.Bound > 0 {
+			least = min(least, c.Bound)
+		}
+	}
+	cfg.Round = max(cfg.Round, time.Millisecond)
+	cfg.TryLimit = max(cfg.TryLimit, 1)
+	return &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed)), servers: map[ServerID]*server{},
+		groups: map[int]*group{}, open: map[RequestID]*request{}, sessions: map[uint64]time.Duration{},
+		interval: max(least, 10*cfg.Round), sweepGap: max(cfg.Round, least/25), budget: retryBurst}, nil
+}
+
+// Step takes a batch of events, all at one clock, and appends the actions to take, in order. A clock
+// before an earlier one counts as the latest seen.
+func (r *Router) Step(now time.Duration, events []Event, actions []Action) []Action {
+	first := r.turn == 0 && r.askAt == 0
+	r.now, r.acts = max(now, r.now), actions
+	if first && r.cfg.AskList {
+		r.subscribe()
+	}
+	for i := range events {
+		r.take(&events[i])
+	}
+	r.pollDue()
+	if r.kick || r.now-r.swept >= r.sweepGap {
+		r.sweep()
+	}
+	r.arm()
+	actions, r.acts = r.acts, nil
+	return actions
+}
+
+func (r *Router) take(e *Event) {
+	switch e.Kind {
+	case EventList:
+		r.list(e)
+	case EventRequest:
+		r.request(e)
+	case EventOpened:
+		if q := r.open[e.Request]; q != nil {
+			q.streamed = true
+		}
+	case EventOutcome:
+		r.outcome(e)
+	case EventAborted:
+		if q := r.open[e.Request]; q != nil {
+			r.close(q)
+		}
+	case EventPoll:
+		r.polledBy(e)
+	case EventTimer:
+		if e.Token == r.token {
+			r.armed = 0
+		}
+	}
+}
+
+// ---- lists
+
+func (r *Router) list(e *Event) {
+	if e.List == ListFailed {
+		if r.cfg.AskList {
+			r.log("list out of reach, asking again")
+			r.askAt = r.now + r.spread(r.cfg.AskWithin/5)
+		}
+		return
+	}
+	seen := map[ServerID]bool{}
+	for i := range e.Entries {
+		seen[e.Entries[i].Server] = true
+		r.entry(&e.Entries[i])
+	}
+	if e.List != ListDelta {
+		for _, g := range r.order {
+			for _, s := range slices.Clone(g.members) {
+				if !seen[s.id] {
+					r.gone(s)
+				}
+			}
+		}
+	}
+	r.kick = true
+}
+
+func (r *Router) entry(e *Entry) {
+	s := r.servers[e.Server]
+	if e.Life == LifeGone {
+		if s != nil {
+			r.gone(s)
+		}
+		return
+	}
+	if s == nil {
+		g := r.groupOf(e.Group)
+		s = &server{id: e.Server, group: g, limit: startLimit, nextPoll: r.now, polled: !r.cfg.Probing}
+		r.servers[s.id] = s
+		at, _ := slices.BinarySearchFunc(g.members, s.id, func(m *server, id ServerID) int { return cmp.Compare(m.id, id) })
+		g.members = slices.Insert(g.members, at, s)
+	} else if e.Started > s.started && s.group.primary == s {
+		s.group.primary = nil // a process that started again begins as a replica
+	}
+	s.zone, s.started = e.Zone, max(s.started, e.Started)
+	if e.Life != s.life {
+		s.life, s.toldAt = e.Life, r.now
+	}
+}
+
+// gone drops a server. Where only draining binds, a list that merely lacks it proves nothing.
+func (r *Router) gone(s *server) {
+	if r.cfg.SoftRemoval && s.life != LifeDraining {
+		return
+	}
+	delete(r.servers, s.id)
+	s.life, s.toldAt = LifeGone, r.now
+	s.group.members = slices.DeleteFunc(s.group.members, func(m *server) bool { return m == s })
+	if s.group.primary == s {
+		s.group.primary = nil
+	}
+}
+
+func (r *Router) groupOf(n int) *group {
+	g := r.groups[n]
+	if g == nil {
+		least := r.cfg.Classes[0].Target
+		for i := range r.cfg.Classes {
+			least = min(least, r.cfg.Classes[i].Target)
+		}
+		g = &group{latency: float64(least) / 4}
+		r.groups[n] = g
+		r.order = append(r.order, g)
+	}
+	return g
+}
+
+func (r *Router) subscribe() {
+	r.acts = append(r.acts, Action{Kind: ActionSubscribe})
+	r.askAt = math.MaxInt64
+}
+
+// ---- polls and what servers tell
+
+// pollDue sends the polls whose own timers have come (step 1).
+func (r *Router) pollDue() {
+	if r.now >= r.askAt && r.askAt > 0 {
+		r.subscribe()
+	}
+	for _, g := range r.order {
+		for _, s := range g.members {
+			if r.cfg.Probing && !s.polling && r.now >= s.nextPoll {
+				s.polling = true
+				r.acts = append(r.acts, Action{Kind: ActionPoll, Server: s.id})
+			}
+		}
+	}
+}
+
+func (r *Router) polledBy(e *Event) {
+	s := r.servers[e.Server]
+	if s == nil {
+		return
+	}
+	s.polling = false
+	if e.Outcome == OutcomeOK {
+		r.recover(s)
+		s.fails, s.polled, s.reset = 0, true, false
+		r.report(s, &e.Report)
+		if s.group.primary == s && e.Report.Primary {
+			s.group.named = max(s.group.named, r.now-e.Age)
+		}
+		r.kick = true
+	} else if s.fails++; s.fails >= failureLimit {
+		s.polled = false
+	}
+	s.nextPoll = r.now + min(time.Duration(1+s.fails)*r.interval, pollCap*r.interval) +
+		time.Duration(pollJitter*r.rng.Float64()*float64(r.interval))
+}
+
+// recover starts a server slowly that comes back from what looked like the death of its process. The
+// list says so too, but seconds late; by then a crowd could have pushed the cold server over.
+func (r *Router) recover(s *server) {
+	if s.reset || s.fails >= failureLimit {
+		s.started, s.limit = max(s.started, r.now), startLimit
+	}
+}
+
+func (r *Router) report(s *server, rep *Report) {
+	if !rep.Valid || !rep.HasPosition {
+		return
+	}
+	at := r.cfg.Origin + rep.Position
+	s.position = max(s.position, at)
+	if rep.HasRole && rep.Primary {
+		r.claims(s, at)
+	} else if rep.HasRole && s.group.primary == s && at > s.group.claim {
+		s.group.primary = nil
+	}
+}
+
+// note takes what an answer tells. The position of a write's answer is its commit, rounded up.
+func (r *Router) note(s *server, e *Event, write bool) {
+	at := r.now - r.cfg.Round
+	if e.Position > 0 {
+		at = r.cfg.Origin + e.Position
+		if write && e.Outcome == OutcomeOK {
+			at -= time.Millisecond
+		}
+		s.position = max(s.position, at)
+	}
+	switch e.Role {
+	case RolePrimary:
+		r.claims(s, at)
+	case RoleReplica:
+		if e.Outcome == OutcomeMiss && write {
+			at = r.now
+		}
+		s.denied = max(s.denied, at)
+		if s.group.primary == s && at >= s.group.claim {
+			s.group.primary = nil
+			r.hurry(s.group)
+		}
+	}
+	r.report(s, &e.Report)
+}
+
+// claims names s primary as of a time. A primary's position is the present, so positions order the
+// claims of all servers by age: an older one never overrules a newer one.
+func (r *Router) claims(s *server, at time.Duration) {
+	g := s.group
+	if at <= s.denied || at <= g.claim {
+		return
+	}
+	g.claim = at
+	if g.primary != s {
+		r.log(fmt.Sprintf("primary is now %x", uint64(s.id)))
+		g.primary, r.kick = s, true
+	}
+}
+
+// hurry polls a group at once, without waiting for its timers.
+func (r *Router) hurry(g *group) {
+	for _, s := range g.members {
+		s.nextPoll = min(s.nextPoll, r.now)
+	}
+}
+
+// ---- requests
+
+func (r *Router) request(e *Event) {
+	if r.open[e.Request] != nil {
+		return
+	}
+	if e.Class < 0 || e.Class >= len(r.cfg.Classes) {
+		r.acts = append(r.acts, Action{Kind: ActionReject, Request: e.Request})
+		return
+	}
+	q := &request{id: e.Request, class: &r.cfg.Classes[e.Class], group: r.groupOf(e.Group), key: e.Key,
+		arrived: r.now, deadline: e.Deadline, after: -1}
+	if q.class.Need == NeedSession {
+		q.need = r.sessionNeed(e)
+	}
+	r.open[q.id] = q
+	r.queue = append(r.queue, q)
+	r.place(q)
+}
+
+func (r *Router) sessionNeed(e *Event) time.Duration {
+	if !r.cfg.RouterTokens {
+		if e.SinceWrite > 0 {
+			return r.now - e.SinceWrite
+		}
+		return 0
+	}
+	if commit, ok := r.sessions[e.Key]; ok {
+		return commit
+	}
+	return r.floor
+}
+
+// place sends q to its server, if there is one that may have it now.
+func (r *Router) place(q *request) bool {
+	if !r.maySend(q) {
+		return false
+	}
+	s := r.pick(q)
+	if s == nil {
+		return false
+	}
+	if q.sends == 0 {
+		r.budget = min(r.budget+retryShare, retryBurst)
+	}
+	if q.out == 0 && !q.ran {
+		q.since = r.now
+	}
+	s.out = append(s.out, flight{q.id, q.sends, r.now})
+	r.acts = append(r.acts, Action{Kind: ActionTry, Request: q.id, Server: s.id})
+	q.sends, q.out, q.last, q.pulled = q.sends+1, q.out+1, s, false
+	r.turn++
+	s.turn = r.turn
+	s.count, s.countAt = r.recent(s)+1, r.now
+	return true
+}
+
+// maySend is the ledger's one say on whether a further attempt is legal for the class.
+func (r *Router) maySend(q *request) bool {
+	switch {
+	case q.done || q.streamed || q.sends >= r.cfg.TryLimit || r.now >= q.deadline:
+		return false
+	case q.out > 0 && !r.cfg.ParallelTries:
+		return false
+	case q.out == 0 && !q.ran, q.class.Effect == Safe:
+		return true
+	case q.class.Effect == Keyed:
+		return r.now-q.since < q.class.Window-2*r.cfg.Round
+	}
+	return false
+}
+
+// mayReject is the ledger's say on whether a client may be told that a further try is harmless.
+func (q *request) mayReject() bool {
+	return q.class.Effect == Safe || q.out == 0 && !q.ran || q.class.Effect == Keyed && q.class.Scope == ScopeAll
+}
+
+// pick chooses the server (steps 3 and 4).
+func (r *Router) pick(q *request) *server {
+	p := q.group.primary
+	switch q.class.Need {
+	case NeedWrite, NeedFresh:
+		share := 1.0
+		if q.class.Need == NeedWrite {
+			share = writeShare
+		}
+		if p == nil || q.group.named < q.after && r.cfg.Probing || !r.takes(p, q, share) {
+			return nil
+		}
+		return p
+	}
+	if s := r.leastLoaded(q); s != nil {
+		return s
+	}
+	if r.cfg.Behind != BehindServe && !q.missed {
+		if s := r.mostAdvanced(q); s != nil {
+			return s
+		}
+	}
+	if p != nil && p != q.last && r.takes(p, q, fallbackShare) {
+		return p
+	}
+	return nil
+}
+
+// leastLoaded picks among the active replicas whose told position suffices, ties in turn.
+func (r *Router) leastLoaded(q *request) *server {
+	var best *server
+	for _, s := range q.group.members {
+		if s == q.group.primary || s == q.last || !r.proven(s, q) || !r.takes(s, q, 1) {
+			continue
+		}
+		if best == nil || len(s.out) < len(best.out) || len(s.out) == len(best.out) && s.turn < best.turn {
+			best = s
+		}
+	}
+	return best
+}
+
+func (r *Router) mostAdvanced(q *request) *server {
+	var best *server
+	for _, s := range q.group.members {
+		if s == q.group.primary || s == q.last || !r.takes(s, q, 1) {
+			continue
+		}
+		if best == nil || s.position > best.position {
+			best = s
+		}
+	}
+	return best
+}
+
+// proven tells whether a told position suffices; what a server may have applied since does not count.
+func (r *Router) proven(s *server, q *request) bool {
+	switch q.class.Need {
+	case NeedBounded:
+		return s.position >= r.now-q.class.Bound && s.position > 0
+	case NeedSession:
+		return s.position >= q.need
+	}
+	return true
+}
+
+// takes tells whether a server is active and has room within a share of its limit.
+func (r *Router) takes(s *server, q *request, share float64) bool {
+	if !s.polled || float64(len(s.out)) >= s.limit*share || r.silent(s) || !r.warmEnough(s, q) {
+		return false
+	}
+	if s.life == LifeReady {
+		return true
+	}
+	// A draining primary still takes writes until it hands over; the grace bounds that.
+	return s.life == LifeDraining && s == s.group.primary && q.class.Need <= NeedFresh &&
+		r.now-s.toldAt < r.cfg.DrainGrace-2*r.cfg.Round
+}
+
+// silent tells whether a server keeps requests without answering any. Covers hangs, pauses and cut links
+// before any time-out is due. It hurts when a lone long request looks like silence: its server then rests
+// until it answers, and after attempts were given up it gets one trial at a time.
+func (r *Router) silent(s *server) bool {
+	if len(s.out) == 0 {
+		return s.mute > 0 && r.now < s.trialAt
+	}
+	return s.mute > 0 || r.now-max(s.answered, s.out[0].sent) > r.patience(s.group)
+}
+
+func (r *Router) patience(g *group) time.Duration {
+	return max(time.Duration(patienceFactor*g.latency), 10*r.cfg.Round)
+}
+
+// warmEnough bounds the sends to a cold server to a share of this router's own sends to its warm peers.
+// All routers' shares add up to the same share of a warm server's load, however unequal the routers.
+func (r *Router) warmEnough(s *server, q *request) bool {
+	share := r.warmth(s)
+	if share >= 1 {
+		return true
+	}
+	if s == s.group.primary && q.class.Need <= NeedFresh {
+		share *= max(1, r.cfg.TipMultiple/2)
+	}
+	return r.recent(s)+1 <= share*s.group.warm
+}
+
+// warmth is the least share of its capacity that a server has by now.
+func (r *Router) warmth(s *server) float64 {
+	age := r.now - s.started
+	if s.started == 0 || age >= r.cfg.RampTime {
+		return 1
+	}
+	return r.cfg.ColdFrom + (1-r.cfg.ColdFrom)*float64(max(age, 0))/float64(r.cfg.RampTime)
+}
+
+func (r *Router) recent(s *server) float64 {
+	return s.count * math.Exp(-float64(r.now-s.countAt)/float64(2*max(r.cfg.Fall, time.Second)))
+}
+
+// ---- outcomes
+
+func (r *Router) outcome(e *Event) {
+	q := r.open[e.Request]
+	s := r.servers[e.Server]
+	if s != nil {
+		r.landed(s, q, e)
+	}
+	r.kick = true
+	if q == nil {
+		return
+	}
+	q.out--
+	if e.Outcome == OutcomeOK && q.class.Need == NeedWrite && r.cfg.RouterTokens {
+		r.remember(q, e)
+	}
+	if e.Settled {
+		r.close(q)
+		return
+	}
+	switch e.Outcome {
+	case OutcomeFull, OutcomeConnectFailed, OutcomeMoot, OutcomeMiss:
+		q.missed = q.missed || e.Outcome == OutcomeMiss
+		if q.class.Need == NeedWrite {
+			q.after = r.now
+			r.hurry(q.group)
+		}
+	default:
+		q.ran = true
+	}
+	if q.out == 0 {
+		r.again(q, e.Outcome)
+	}
+}
+
+func (r *Router) remember(q *request, e *Event) {
+	commit := r.now
+	if e.Position > 0 {
+		commit = r.cfg.Origin + e.Position
+	}
+	r.sessions[q.key] = max(r.sessions[q.key], commit)
+}
+
+// landed books an attempt's end at its server.
+func (r *Router) landed(s *server, q *request, e *Event) {
+	s.out = slices.DeleteFunc(s.out, func(f flight) bool { return f.id == e.Request && f.attempt == e.Attempt })
+	switch e.Outcome {
+	case OutcomeOK, OutcomeError, OutcomeFull, OutcomeMiss:
+		s.answered, s.mute = r.now, 0
+		r.note(s, e, q != nil && q.class.Need == NeedWrite)
+		if e.Outcome == OutcomeOK {
+			r.learn(s, q, e.Age)
+		} else if e.Outcome == OutcomeFull {
+			s.limit = max(1, min(s.limit, float64(len(s.out))))
+		}
+	case OutcomeReset:
+		s.reset, s.polled, s.nextPoll = true, !r.cfg.Probing, r.now
+	case OutcomeConnectFailed:
+		s.polled, s.nextPoll = !r.cfg.Probing, r.now
+	}
+}
+
+// learn moves the mean latency and the server's limit. Answers near their target say that its queue is
+// as long as it may be; requests beyond the limit wait here, where the worthiest goes first.
+func (r *Router) learn(s *server, q *request, age time.Duration) {
+	s.group.latency += latencyWeight * (float64(age) - s.group.latency)
+	if q == nil {
+		return
+	}
+	if float64(age) > nearTarget*float64(q.class.Target) {
+		if float64(r.now-s.cutAt) > s.group.latency {
+			s.limit, s.cutAt = max(leastLimit, s.limit*limitCut), r.now
+		}
+	} else if float64(len(s.out)+1) >= s.limit/2 {
+		s.limit += 1 / s.limit
+	}
+}
+
+// again decides on a request none of whose attempts is out.
+func (r *Router) again(q *request, o Outcome) {
+	if !r.maySend(q) || q.ran && !r.spend() {
+		r.finish(q)
+		return
+	}
+	r.place(q)
+}
+
+func (r *Router) spend() bool {
+	if r.budget < 1 {
+		return false
+	}
+	r.budget--
+	return true
+}
+
+// finish gives the final answer; what is given up on is answered at once.
+func (r *Router) finish(q *request) {
+	a := Action{Kind: ActionFail, Request: q.id}
+	if q.mayReject() {
+		a.Kind = ActionReject
+		if r.cfg.RetryAfter {
+			a.After = r.cfg.MaxRetryAfter/2 + r.spread(r.cfg.MaxRetryAfter/2)/2
+		}
+	}
+	r.acts = append(r.acts, a)
+	r.close(q)
+}
+
+func (r *Router) close(q *request) {
+	q.done = true
+	delete(r.open, q.id)
+}
+
+// ---- sweep
+
+// sweep looks after requests that wait: for a server, for an answer, or for the end.
+func (r *Router) sweep() {
+	r.swept, r.kick = r.now, false
+	r.refresh()
+	r.held = r.held[:0]
+	r.queue = slices.DeleteFunc(r.queue, func(q *request) bool { return q.done })
+	for _, q := range r.queue {
+		switch {
+		case q.streamed:
+		case q.out == 0 && r.now >= r.lastCall(q), r.now >= q.deadline+r.cfg.AnswerSlack/2:
+			r.finish(q)
+		case q.out == 0:
+			r.held = append(r.held, q)
+		default:
+			r.rescue(q)
+		}
+	}
+	slices.SortStableFunc(r.held, func(a, b *request) int { return cmp.Compare(r.worth(b), r.worth(a)) })
+	for _, q := range r.held {
+		if !r.place(q) && q.class.Need <= NeedFresh && (q.group.primary == nil || !q.group.primary.polled) {
+			r.pollGroup(q.group)
+		}
+	}
+}
+
+// pollGroup keeps polls at one interval, without backoff, while work waits for a primary.
+func (r *Router) pollGroup(g *group) {
+	for _, s := range g.members {
+		s.nextPoll = min(s.nextPoll, r.now+r.interval)
+	}
+}
+
+func (r *Router) worth(q *request) float64 {
+	if r.now-q.arrived > q.class.Target {
+		return q.class.Worth * q.class.LateWorth
+	}
+	return q.class.Worth
+}
+
+// lastCall is when a request that no server has is given up: as an answer could no longer earn anything.
+func (r *Router) lastCall(q *request) time.Duration {
+	end := q.deadline
+	if q.class.LateWorth == 0 {
+		end = min(end, q.arrived+q.class.Target)
+	}
+	return min(end-time.Duration(q.group.latency/2), q.deadline-2*r.cfg.Round)
+}
+
+// rescue tries a request elsewhere whose server has gone silent.
+func (r *Router) rescue(q *request) {
+	s := q.last
+	if s == nil || q.pulled || q.class.Effect != Safe || q.sends >= r.cfg.TryLimit || !r.silentOn(s, q) {
+		return
+	}
+	if r.cfg.ParallelTries {
+		if q.out < 2 && r.budget >= 1 && r.place(q) {
+			r.budget--
+			r.muted(s)
+		}
+	} else if r.cfg.Cancel {
+		q.pulled = true
+		r.acts = append(r.acts, Action{Kind: ActionWithdraw, Request: q.id, Attempt: q.sends - 1})
+		r.muted(s)
+	}
+}
+
+func (r *Router) silentOn(s *server, q *request) bool {
+	for _, f := range s.out {
+		if f.id == q.id {
+			return r.now-max(f.sent, s.answered) > r.patience(q.group)
+		}
+	}
+	return false
+}
+
+func (r *Router) muted(s *server) {
+	if s.mute == 0 {
+		r.log(fmt.Sprintf("server %x is silent", uint64(s.id)))
+	}
+	s.mute = min(s.mute+1, 4)
+	s.trialAt = r.now + r.interval<<s.mute
+}
+
+// refresh updates the mean sends to warm members and forgets old sessions.
+func (r *Router) refresh() {
+	for _, g := range r.order {
+		sum, n := 0.0, 0
+		for _, s := range g.members {
+			if s != g.primary && s.polled && r.warmth(s) >= 1 {
+				sum += r.recent(s)
+				n++
+			}
+		}
+		if n > 0 {
+			g.warm = sum / float64(n)
+		}
+	}
+	if r.now-r.pruned > forget {
+		r.pruned = r.now
+		for key, commit := range r.sessions {
+			if commit < r.now-forget {
+				r.floor = max(r.floor, commit)
+				delete(r.sessions, key)
+			}
+		}
+	}
+}
+
+// ---- time
+
+func (r *Router) arm() {
+	next := r.askAt
+	if next == 0 {
+		next = math.MaxInt64
+	}
+	if r.cfg.Probing {
+		for _, g := range r.order {
+			for _, s := range g.members {
+				if !s.polling {
+					next = min(next, s.nextPoll)
+				}
+			}
+		}
+	}
+	if len(r.open) > 0 {
+		next = min(next, r.now+r.sweepGap)
+	}
+	next = max(next, r.now+r.cfg.Round)
+	if next >= r.now+time.Hour || r.armed != 0 && r.armed <= next {
+		return
+	}
+	r.token++
+	r.armed = next
+	r.acts = append(r.acts, Action{Kind: ActionTimer, Token: r.token, After: next - r.now})
+}
+
+// spread draws a time of between a half and one and a half of d.
+func (r *Router) spread(d time.Duration) time.Duration {
+	return time.Duration((0.5 + r.rng.Float64()) * float64(d))
+}
+
+func (r *Router) log(text string) {
+	if r.logs < logLines {
+		r.logs++
+		r.acts = append(r.acts, Action{Kind: ActionLog, Text: text})
+	}
+}
--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,124 @@
+// Command drill hosts any number of routers behind the simulator's wire on standard input and output.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"umberladder/balance"
+	"umberladder/internal/wire"
+)
+
+func main() {
+	if err := serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "drill:", err)
+		os.Exit(1)
+	}
+}
+
+// instance is one router and what the batch at hand brought it.
+type instance struct {
+	id      uint32
+	router  *balance.Router
+	events  []balance.Event
+	pending bool
+	fault   string
+}
+
+type host struct {
+	instances map[uint32]*instance
+	touched   []*instance
+	actions   []balance.Action
+}
+
+func serve(in io.Reader, out io.Writer) error {
+	dec := wire.NewDecoder(bufio.NewReaderSize(in, 1<<16))
+	w := bufio.NewWriterSize(out, 1<<16)
+	h := &host{instances: map[uint32]*instance{}}
+	var enc wire.Encoder
+	for {
+		now, inputs, err := dec.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := h.take(inputs); err != nil {
+			return err
+		}
+		enc.Begin()
+		h.step(now, &enc)
+		if _, err := w.Write(enc.Finish()); err != nil {
+			return err
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// take hands each input to its instance, in order.
+func (h *host) take(inputs []wire.Input) error {
+	h.touched = h.touched[:0]
+	for i := range inputs {
+		in := &inputs[i]
+		inst := h.instances[in.Instance]
+		if inst == nil {
+			inst = &instance{id: in.Instance}
+			h.instances[in.Instance] = inst
+		}
+		if !inst.pending {
+			inst.pending = true
+			h.touched = append(h.touched, inst)
+		}
+		switch {
+		case in.Start != nil:
+			router, err := balance.New(in.Start.Config, in.Start.Seed)
+			if err != nil {
+				return fmt.Errorf("instance %d: %w", in.Instance, err)
+			}
+			inst.router, inst.events, inst.fault = router, inst.events[:0], ""
+		case in.Stop:
+			inst.router, inst.events = nil, inst.events[:0]
+		default:
+			inst.events = append(inst.events, in.Event)
+		}
+	}
+	return nil
+}
+
+// step lets every touched instance act once.
+func (h *host) step(now time.Duration, enc *wire.Encoder) {
+	for _, inst := range h.touched {
+		inst.pending = false
+		if inst.router != nil {
+			h.actions = inst.step(now, h.actions[:0])
+			if len(h.actions) > 0 || inst.fault != "" {
+				enc.As(inst.id)
+			}
+			for i := range h.actions {
+				enc.Action(&h.actions[i])
+			}
+			if inst.fault != "" {
+				enc.Fault(inst.fault)
+				inst.router = nil
+			}
+		}
+		clear(inst.events)
+		inst.events = inst.events[:0]
+	}
+}
+
+func (i *instance) step(now time.Duration, actions []balance.Action) (out []balance.Action) {
+	defer func() {
+		if p := recover(); p != nil {
+			out, i.fault = actions[:0], fmt.Sprint("decision code: ", p)
+		}
+	}()
+	return i.router.Step(now, i.events, actions)
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,165 @@
+package wire
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"umberladder/balance"
+)
+
+// settings is the path=value table of a start record; the first unusable value is kept in err.
+type settings struct {
+	values map[string]string
+	err    error
+}
+
+// ParseSettings reads the start settings and the order of the report's values. Unknown keys are skipped.
+func ParseSettings(text string) (balance.Config, []string, error) {
+	s := &settings{values: map[string]string{}}
+	for n, line := range strings.Split(text, "\n") {
+		if strings.TrimSpace(line) == "" {
+			continue
+		}
+		key, value, ok := strings.Cut(line, "=")
+		if !ok {
+			return balance.Config{}, nil, fmt.Errorf("settings line %d: no '='", n+1)
+		}
+		s.values[key] = strings.TrimSuffix(value, "\r")
+	}
+	cfg := s.config()
+	return cfg, s.list("feedback.fields"), s.err
+}
+
+func (s *settings) config() balance.Config {
+	cfg := balance.Config{
+		Zone:          int(s.number("locality", 0)),
+		Round:         s.time("round"),
+		Origin:        s.time("family-info.origin-time"),
+		Positions:     s.flag("family-info.positions"),
+		RouterTokens:  s.values["family-info.tokens"] == "router",
+		AskList:       s.values["discovery"] == "ask",
+		AskWithin:     s.time("obligations.ask-within"),
+		DrainGrace:    s.time("obligations.drain-grace"),
+		SoftRemoval:   s.flag("obligations.soft-removal"),
+		AnswerSlack:   s.time("obligations.answer-slack"),
+		ColdFrom:      s.number("obligations.cold-from", 0),
+		RampTime:      s.time("obligations.ramp-time"),
+		TipMultiple:   s.number("obligations.tip-multiple", 0),
+		Fall:          s.time("obligations.fall"),
+		CatchUpWait:   s.time("family-info.catch-up-wait"),
+		Cancel:        s.flag("bounds.cancel"),
+		Probing:       s.flag("bounds.probing"),
+		ParallelTries: s.flag("bounds.parallel-tries"),
+		TryLimit:      int(s.number("bounds.try-limit", 1)),
+		RetryAfter:    s.flag("bounds.retry-after"),
+		MaxRetryAfter: s.time("bounds.max-retry-after"),
+		DialTimeout:   s.time("bounds.dial-timeout"),
+		ListsRole:     s.values["family-info.shows-role"] == "delayed",
+	}
+	cfg.Behind = word(s, "family-info.behind", map[string]balance.Behind{"": balance.BehindServe,
+		"none": balance.BehindServe, "reject": balance.BehindReject, "hold": balance.BehindWait})
+	n := int(s.number("classes.count", 0))
+	if n < 0 || n > math.MaxUint8+1 {
+		s.fail("classes.count", "out of range")
+		return cfg
+	}
+	needs, bounds := s.list("family-info.needs-by-class"), s.list("family-info.oldest-data")
+	if len(needs) != n {
+		s.fail("family-info.needs-by-class", fmt.Sprintf("names %d classes of %d", len(needs), n))
+		return cfg
+	}
+	for i := range n {
+		cfg.Classes = append(cfg.Classes, s.class(i, needs[i], bounds))
+	}
+	return cfg
+}
+
+func (s *settings) class(i int, need string, bounds []string) balance.Class {
+	at := fmt.Sprintf("classes.%d.", i)
+	c := balance.Class{
+		Name:      s.values[at+"name"],
+		Target:    s.time(at + "target"),
+		Deadline:  s.time(at + "deadline"),
+		Window:    s.time(at + "window"),
+		Worth:     s.number(at+"worth", 1),
+		LateWorth: s.number(at+"late-worth", 0),
+	}
+	c.Effect = word(s, at+"effect", map[string]balance.Effect{"read_like": balance.Safe,
+		"idempotency_key": balance.Keyed, "non_idempotent": balance.Unsafe})
+	c.Scope = word(s, at+"group", map[string]balance.Scope{"": balance.ScopeGroup, "cell": balance.ScopeGroup,
+		"zone": balance.ScopeZone, "all": balance.ScopeAll})
+	needs := map[string]balance.Need{"update": balance.NeedWrite, "latest": balance.NeedFresh,
+		"own_writes": balance.NeedSession, "recent": balance.NeedBounded, "loose": balance.NeedAny}
+	kind, ok := needs[need]
+	if !ok {
+		s.fail("family-info.needs-by-class", strconv.Quote(need)+" is no need")
+	}
+	c.Need = kind
+	if kind == balance.NeedBounded {
+		if i >= len(bounds) {
+			s.fail("family-info.oldest-data", "is too short")
+			return c
+		}
+		c.Bound = s.parseTime("family-info.oldest-data", bounds[i])
+	}
+	return c
+}
+
+func word[T any](s *settings, key string, words map[string]T) T {
+	v, ok := words[s.values[key]]
+	if !ok {
+		s.fail(key, strconv.Quote(s.values[key])+" is no choice")
+	}
+	return v
+}
+
+func (s *settings) list(key string) []string {
+	if s.values[key] == "" {
+		return nil
+	}
+	return strings.Split(s.values[key], ",")
+}
+
+func (s *settings) number(key string, absent float64) float64 {
+	text, ok := s.values[key]
+	if !ok || text == "" {
+		return absent
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(v) || math.Abs(v) > 9e12 {
+		s.fail(key, strconv.Quote(text)+" is no number")
+		return absent
+	}
+	return v
+}
+
+func (s *settings) time(key string) time.Duration {
+	t, _ := millis(s.number(key, 0))
+	return t
+}
+
+func (s *settings) parseTime(key, text string) time.Duration {
+	v, err := strconv.ParseFloat(text, 64)
+	t, ok := millis(v)
+	if err != nil || !ok {
+		s.fail(key, strconv.Quote(text)+" is no time")
+	}
+	return t
+}
+
+func (s *settings) flag(key string) bool {
+	text := s.values[key]
+	if text != "" && text != "true" && text != "false" {
+		s.fail(key, strconv.Quote(text)+" is neither true nor false")
+	}
+	return text == "true"
+}
+
+func (s *settings) fail(key, why string) {
+	if s.err == nil {
+		s.err = fmt.Errorf("setting %s: %s", key, why)
+	}
+}
