--- a/balance/balance.go
+++ b/balance/balance.go
@@ -87,6 +87,7 @@
 	polled   bool          // answered a poll since it last failed
 	fails    int
 	polling  bool
+	heard    bool // its first poll has ended
 	reset    bool
 	nextPoll time.Duration
 	out      []flight
@@ -224,7 +225,8 @@
 	}
 	if s == nil {
 		g := r.groupOf(e.Group)
-		s = &server{id: e.Server, group: g, limit: startLimit, nextPoll: r.now, polled: !r.cfg.Probing}
+		s = &server{id: e.Server, group: g, limit: startLimit, nextPoll: r.now, polled: !r.cfg.Probing,
+			heard: !r.cfg.Probing}
 		r.servers[s.id] = s
 		at, _ := slices.BinarySearchFunc(g.members, s.id, func(m *server, id ServerID) int { return cmp.Compare(m.id, id) })
 		g.members = slices.Insert(g.members, at, s)
@@ -291,7 +293,7 @@
 	if s == nil {
 		return
 	}
-	s.polling = false
+	s.polling, s.heard = false, true
 	if e.Outcome == OutcomeOK {
 		r.recover(s)
 		s.fails, s.polled, s.reset = 0, true, false
@@ -391,6 +393,10 @@
 		q.need = r.sessionNeed(e)
 	}
 	r.open[q.id] = q
+	if r.now >= r.lastCall(q) {
+		r.finish(q) // it may come with no time left: waiting for a sweep would lose it
+		return
+	}
 	r.queue = append(r.queue, q)
 	r.place(q)
 }
@@ -474,12 +480,18 @@
 			return s
 		}
 	}
-	if p != nil && p != q.last && r.takes(p, q, fallbackShare) {
+	if p != nil && p != q.last && !q.group.unheard() && r.takes(p, q, fallbackShare) {
 		return p
 	}
 	return nil
 }
 
+// unheard tells whether a member's first poll is still out: which replicas qualify is not known yet, and
+// a restarted router must not send all that it holds to the primary.
+func (g *group) unheard() bool {
+	return slices.ContainsFunc(g.members, func(s *server) bool { return !s.heard })
+}
+
 // leastLoaded picks among the active replicas whose told position suffices, ties in turn.
 func (r *Router) leastLoaded(q *request) *server {
 	var best *server
