--- a/balance/balance.go
+++ b/balance/balance.go
@@ -310,9 +310,10 @@
 }
 
 // recover starts a server slowly that comes back from what looked like the death of its process. The
-// list says so too, but seconds late; by then a crowd could have pushed the cold server over.
+// list says so too, but seconds late; by then a crowd could have pushed the cold server over. A broken
+// connection alone is no death: a link that cuts connections now and then must not cost the warm server.
 func (r *Router) recover(s *server) {
-	if s.reset || s.fails >= failureLimit {
+	if s.fails >= failureLimit || s.reset && s.fails > 0 {
 		s.started, s.limit = max(s.started, r.now), startLimit
 	}
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -207,3 +207,15 @@
 	g.wantTries(1, 1, 2)
 	g.wantFinal(1, ActionFail)
 }
+
+func TestBrokenConnectionsAreNoRestart(t *testing.T) {
+	g := newRig(t, baseConfig(), 2)
+	g.ready(2)
+	g.ask(1, anyRead)
+	g.wantTries(1, 2)
+	g.end(1, 0, 2, OutcomeReset, RoleUnknown)
+	g.report(2, false, 10*ms)
+	if w := g.r.warmth(g.r.servers[2]); w != 1 {
+		t.Errorf("a broken connection made a warm server cold: %v", w)
+	}
+}
