--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,10 +19,11 @@
 	failureLimit   = 2    // failed polls in a row until a server is down (step 1)
 	pollJitter     = 0.4  // random part of a poll's wait, in intervals (step 1)
 	pollCap        = 5    // longest wait between polls, in intervals (step 1)
-	startLimit     = 6.0  // outstanding requests a server may hold before its answers have told more
-	leastLimit     = 2.0  // the limit never falls below this
+	startLimit     = 2.0  // outstanding requests a server may hold before its answers have told more
+	leastLimit     = 0.05 // the limit never falls below this; below 1 it spaces single requests
 	limitCut       = 0.9  // the limit's factor after an answer near its target
-	nearTarget     = 0.8  // share of the target at which an answer counts as near it
+	fullCut        = 0.6  // the limit's factor after a refusal for want of room, or no answer in time
+	nearTarget     = 0.7  // share of the target at which an answer counts as near it
 	fallbackShare  = 0.6  // part of the primary's limit open to reads that replicas could serve
 	writeShare     = 2.0  // part of the primary's limit open to writes
 	patienceFactor = 3.0  // a server is silent after this many mean latencies without an answer
@@ -314,7 +315,7 @@
 // connection alone is no death: a link that cuts connections now and then must not cost the warm server.
 func (r *Router) recover(s *server) {
 	if s.fails >= failureLimit || s.reset && s.fails > 0 {
-		s.started, s.limit = max(s.started, r.now), startLimit
+		s.started, s.limit, s.cutAt = max(s.started, r.now), startLimit, 0
 	}
 }
 
@@ -533,7 +534,7 @@
 
 // takes tells whether a server is active and has room within a share of its limit.
 func (r *Router) takes(s *server, q *request, share float64) bool {
-	if !s.polled || float64(len(s.out)) >= s.limit*share || r.silent(s) || !r.warmEnough(s, q) {
+	if !s.polled || !r.room(s, share) || r.silent(s) || !r.warmEnough(s, q) {
 		return false
 	}
 	if s.life == LifeReady {
@@ -544,6 +545,16 @@
 		r.now-s.toldAt < r.cfg.DrainGrace-2*r.cfg.Round
 }
 
+// room tells whether a server may hold one more. Many routers before few servers overload them with one
+// request each; a limit below 1 therefore lets one go only every so often.
+func (r *Router) room(s *server, share float64) bool {
+	limit := s.limit * share
+	if limit >= 1 {
+		return float64(len(s.out)) < limit
+	}
+	return len(s.out) == 0 && float64(r.now-s.countAt) >= s.group.latency*(1/limit-1)
+}
+
 // silent tells whether a server keeps requests without answering any. Covers hangs, pauses and cut links
 // before any time-out is due. It hurts when a lone long request looks like silence: its server then rests
 // until it answers, and after attempts were given up it gets one trial at a time.
@@ -637,8 +648,10 @@
 		if e.Outcome == OutcomeOK {
 			r.learn(s, q, e.Age)
 		} else if e.Outcome == OutcomeFull {
-			s.limit = max(1, min(s.limit, float64(len(s.out))))
+			r.cut(s, fullCut)
 		}
+	case OutcomeTimeout, OutcomeCancelled:
+		r.cut(s, fullCut)
 	case OutcomeReset:
 		s.reset, s.polled, s.nextPoll = true, !r.cfg.Probing, r.now
 	case OutcomeConnectFailed:
@@ -654,11 +667,20 @@
 		return
 	}
 	if float64(age) > nearTarget*float64(q.class.Target) {
-		if float64(r.now-s.cutAt) > s.group.latency {
-			s.limit, s.cutAt = max(leastLimit, s.limit*limitCut), r.now
-		}
+		r.cut(s, limitCut)
 	} else if float64(len(s.out)+1) >= s.limit/2 {
-		s.limit += 1 / s.limit
+		if s.cutAt == 0 {
+			s.limit++
+		} else {
+			s.limit += 1 / max(s.limit, 1)
+		}
+	}
+}
+
+// cut lowers a server's limit, once for each time that news of the cut takes.
+func (r *Router) cut(s *server, factor float64) {
+	if float64(r.now-s.cutAt) > s.group.latency {
+		s.limit, s.cutAt = max(leastLimit, min(s.limit, float64(len(s.out)+1))*factor), r.now
 	}
 }
 
@@ -668,6 +690,9 @@
 		r.finish(q)
 		return
 	}
+	if o == OutcomeFull && !r.spend() {
+		return // a full server's peers are likely full: hold it
+	}
 	r.place(q)
 }
 
