--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,7 +23,7 @@
 	leastLimit     = 0.05 // the limit never falls below this; below 1 it spaces single requests
 	limitCut       = 0.9  // the limit's factor after an answer near its target
 	fullCut        = 0.6  // the limit's factor after a refusal for want of room, or no answer in time
-	nearTarget     = 0.7  // share of the target at which an answer counts as near it
+	nearTarget     = 0.5  // share of the target at which an answer counts as near it
 	fallbackShare  = 0.6  // part of the primary's limit open to reads that replicas could serve
 	writeShare     = 2.0  // part of the primary's limit open to writes
 	patienceFactor = 3.0  // a server is silent after this many mean latencies without an answer
