--- a/balance/balance.go
+++ b/balance/balance.go
@@ -742,6 +742,7 @@
 			r.rescue(q)
 		}
 	}
+	slices.Reverse(r.held) // newest first: in a queue that cannot all be served, the oldest is soonest late
 	slices.SortStableFunc(r.held, func(a, b *request) int { return cmp.Compare(r.worth(b), r.worth(a)) })
 	for _, q := range r.held {
 		if !r.place(q) && q.class.Need <= NeedFresh && (q.group.primary == nil || !q.group.primary.polled) {
