--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,6 +22,7 @@
 	startLimit     = 2.0  // outstanding requests a server may hold before its answers have told more
 	leastLimit     = 0.05 // the limit never falls below this; below 1 it spaces single requests
 	limitCut       = 0.9  // the limit's factor after an answer near its target
+	limitGrowth    = 0.1  // most growth of a limit by one answer, as a share of it
 	fullCut        = 0.6  // the limit's factor after a refusal for want of room, or no answer in time
 	nearTarget     = 0.5  // share of the target at which an answer counts as near it
 	fallbackShare  = 0.6  // part of the primary's limit open to reads that replicas could serve
@@ -85,6 +86,7 @@
 	toldAt   time.Duration
 	started  time.Duration
 	position time.Duration // the highest told
+	heardAt  time.Duration // when it was told
 	denied   time.Duration // when it last said that it is no primary
 	polled   bool          // answered a poll since it last failed
 	fails    int
@@ -325,7 +327,7 @@
 		return
 	}
 	at := r.cfg.Origin + rep.Position
-	s.position = max(s.position, at)
+	s.stands(at, r.now)
 	if rep.HasRole && rep.Primary {
 		r.claims(s, at)
 	} else if rep.HasRole && s.group.primary == s && at > s.group.claim {
@@ -333,6 +335,13 @@
 	}
 }
 
+// stands keeps the highest position told, and when.
+func (s *server) stands(at, now time.Duration) {
+	if at > s.position {
+		s.position, s.heardAt = at, now
+	}
+}
+
 // note takes what an answer tells. The position of a write's answer is its commit, rounded up.
 func (r *Router) note(s *server, e *Event, write bool) {
 	at := r.now - r.cfg.Round
@@ -341,7 +350,7 @@
 		if write && e.Outcome == OutcomeOK {
 			at -= time.Millisecond
 		}
-		s.position = max(s.position, at)
+		s.stands(at, r.now)
 	}
 	switch e.Role {
 	case RolePrimary:
@@ -509,10 +518,11 @@
 	return best
 }
 
+// mostAdvanced picks the replica that most likely has what a read needs, where servers check reads.
 func (r *Router) mostAdvanced(q *request) *server {
 	var best *server
 	for _, s := range q.group.members {
-		if s == q.group.primary || s == q.last || !r.takes(s, q, 1) {
+		if s == q.group.primary || s == q.last || !r.hopeful(s, q) || !r.takes(s, q, 1) {
 			continue
 		}
 		if best == nil || s.position > best.position {
@@ -522,6 +532,17 @@
 	return best
 }
 
+// hopeful tells whether a replica that went on at the pace of the log since it was last heard could have
+// what a read needs by the end of its wait. Guards against lags of seconds, from any cause, that turn each
+// read into a wait and a miss. It hurts when a replica catches up faster; its next answer then mends that.
+func (r *Router) hopeful(s *server, q *request) bool {
+	need := q.need
+	if q.class.Need == NeedBounded {
+		need = r.now - q.class.Bound
+	}
+	return s.position > 0 && need <= s.position+(r.now-s.heardAt)+r.cfg.CatchUpWait
+}
+
 // proven tells whether a told position suffices; what a server may have applied since does not count.
 func (r *Router) proven(s *server, q *request) bool {
 	switch q.class.Need {
@@ -673,7 +694,7 @@
 		if s.cutAt == 0 {
 			s.limit++
 		} else {
-			s.limit += 1 / max(s.limit, 1)
+			s.limit += min(1/s.limit, limitGrowth*s.limit)
 		}
 	}
 }
