--- a/balance/balance.go
+++ b/balance/balance.go
@@ -44,10 +44,10 @@
 	acts     []Action
 	servers  map[ServerID]*server
 	groups   map[int]*group
-	order    []*group // groups in order of first mention
-	open     map[RequestID]*request
-	queue    []*request // open requests in order of arrival
-	held     []*request // scratch
+	order    []*group               // groups in order of first mention
+	open     map[RequestID]*request // not answered, or with attempts out
+	queue    []*request             // open requests in order of arrival
+	held     []*request             // scratch
 	sessions map[uint64]time.Duration
 	floor    time.Duration // the newest commit among forgotten sessions
 	pruned   time.Duration
@@ -174,7 +174,7 @@
 	case EventRequest:
 		r.request(e)
 	case EventOpened:
-		if q := r.open[e.Request]; q != nil {
+		if q := r.open[e.Request]; q != nil && !q.done {
 			q.streamed = true
 		}
 	case EventOutcome:
@@ -356,11 +356,14 @@
 	case RolePrimary:
 		r.claims(s, at)
 	case RoleReplica:
+		// It was no primary at some time since the send. Positions in answers are cut to milliseconds, so
+		// they alone could look older than the claim they end.
+		at = max(at, r.now-e.Age)
 		if e.Outcome == OutcomeMiss && write {
 			at = r.now
 		}
 		s.denied = max(s.denied, at)
-		if s.group.primary == s && at >= s.group.claim {
+		if s.group.primary == s && at+time.Millisecond > s.group.claim {
 			s.group.primary = nil
 			r.hurry(s.group)
 		}
@@ -633,7 +636,7 @@
 	if e.Outcome == OutcomeOK && q.class.Need == NeedWrite && r.cfg.RouterTokens {
 		r.remember(q, e)
 	}
-	if e.Settled {
+	if e.Settled || q.done {
 		r.close(q)
 		return
 	}
@@ -739,9 +742,13 @@
 	r.close(q)
 }
 
+// close ends a request. It stays known while attempts are out: a write whose client has left still binds
+// its session's reads once its answer has come.
 func (r *Router) close(q *request) {
 	q.done = true
-	delete(r.open, q.id)
+	if q.out == 0 {
+		delete(r.open, q.id)
+	}
 }
 
 // ---- sweep
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -219,3 +219,31 @@
 		t.Errorf("a broken connection made a warm server cold: %v", w)
 	}
 }
+
+func TestSessionSeesAWriteWhoseClientLeft(t *testing.T) {
+	cfg := baseConfig()
+	cfg.RouterTokens = true
+	g := newRig(t, cfg, 2)
+	g.ready(2)
+	g.ask(1, write)
+	g.step(Event{Kind: EventAborted, Request: 1})
+	g.now += 100 * ms
+	g.end(1, 0, 1, OutcomeOK, RolePrimary)
+	g.now += 50 * ms
+	g.report(2, false, 60*ms)
+	g.ask(2, session)
+	g.wantTries(2, 1)
+	g.report(2, false, 40*ms)
+	g.ask(3, session)
+	g.wantTries(3, 2)
+}
+
+func TestAnswerAsReplicaEndsTheRole(t *testing.T) {
+	g := newRig(t, baseConfig(), 2)
+	g.ready(2)
+	g.ask(1, fresh)
+	g.now += 30 * ms
+	g.end(1, 0, 1, OutcomeOK, RoleReplica)
+	g.ask(2, fresh)
+	g.wantTries(2)
+}
