Round: a slow mean latency must not refuse all unseen (half the target at most is kept back); even on scores

Kept: with a mean above the target every request would be refused without a try, and no answer could lower the mean again.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,7 +27,6 @@
 	nearTarget     = 0.5  // share of the target at which an answer counts as near it
 	fallbackShare  = 0.6  // part of the primary's limit open to reads that replicas could serve
 	writeShare     = 2.0  // part of the primary's limit open to writes
-	lastCallShare  = 1.0  // a held request is given up when less than this many mean latencies are left
 	patienceFactor = 3.0  // a server is silent after this many mean latencies without an answer
 	latencyWeight  = 0.05 // weight of a new answer in the mean latency
 	retryShare     = 0.2  // retry budget earned by each first attempt
@@ -793,13 +792,15 @@
 	return q.class.Worth
 }
 
-// lastCall is when a request that no server has is given up: as an answer could no longer earn anything.
+// lastCall is when a request that no server has is given up: one mean latency before an answer could no
+// longer earn anything.
 func (r *Router) lastCall(q *request) time.Duration {
 	end := q.deadline
 	if q.class.LateWorth == 0 {
 		end = min(end, q.arrived+q.class.Target)
 	}
-	return min(end-time.Duration(lastCallShare*q.group.latency), q.deadline-2*r.cfg.Round)
+	need := min(time.Duration(q.group.latency), q.class.Target/2) // a slow spell must not refuse all unseen
+	return min(end-need, q.deadline-2*r.cfg.Round)
 }
 
 // rescue tries a request elsewhere whose server has gone silent.
