--- a/balance/balance.go
+++ b/balance/balance.go
@@ -696,7 +696,7 @@
 		if s.cutAt == 0 {
 			s.limit++
 		} else {
-			s.limit += min(1/s.limit, limitGrowth*s.limit)
+			s.limit += min(1/s.limit, limitGrowth*max(s.limit, 0.5))
 		}
 	}
 }
