--- a/balance/balance.go
+++ b/balance/balance.go
@@ -118,7 +118,6 @@
 	since    time.Duration // send of the first attempt that may have run
 	after    time.Duration // a poll sent later must name the primary
 	last     *server
-	sent     time.Duration // the last attempt
 	pulled   bool
 	missed   bool
 	streamed bool
@@ -446,7 +445,7 @@
 	}
 	s.out = append(s.out, flight{q.id, q.sends, r.now})
 	r.acts = append(r.acts, Action{Kind: ActionTry, Request: q.id, Server: s.id})
-	q.sends, q.out, q.last, q.sent, q.pulled = q.sends+1, q.out+1, s, r.now, false
+	q.sends, q.out, q.last, q.pulled = q.sends+1, q.out+1, s, false
 	r.turn++
 	s.turn = r.turn
 	s.count, s.countAt = r.recent(s)+1, r.now
@@ -767,9 +766,6 @@
 		case q.out == 0:
 			r.held = append(r.held, q)
 		default:
-			if float64(r.now-q.sent) > nearTarget*float64(q.class.Target) {
-				r.cut(q.last, limitCut) // a queue shows in who still waits before it shows in answers
-			}
 			r.rescue(q)
 		}
 	}
