--- a/balance/api.go
+++ b/balance/api.go
@@ -71,6 +71,7 @@
 type Config struct {
 	Classes       []Class
 	Zone          int           // the router's own zone
+	Routers       int           // how many routers there are, 0 if not known
 	Round         time.Duration // the least time between batches
 	Origin        time.Duration // the clock time that positions count from
 	Positions     bool          // answers carry positions
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,7 +19,7 @@
 	failureLimit   = 2    // failed polls in a row until a server is down (step 1)
 	pollJitter     = 0.4  // random part of a poll's wait, in intervals (step 1)
 	pollCap        = 5    // longest wait between polls, in intervals (step 1)
-	startLimit     = 2.0  // outstanding requests a server may hold before its answers have told more
+	startLimit     = 6.0  // outstanding requests, of all routers, that a server may hold before its answers tell more
 	leastLimit     = 0.05 // the limit never falls below this; below 1 it spaces single requests
 	limitCut       = 0.9  // the limit's factor after an answer near its target
 	limitGrowth    = 0.1  // most growth of a limit by one answer, as a share of it
@@ -228,7 +228,7 @@
 	}
 	if s == nil {
 		g := r.groupOf(e.Group)
-		s = &server{id: e.Server, group: g, limit: startLimit, nextPoll: r.now, polled: !r.cfg.Probing,
+		s = &server{id: e.Server, group: g, limit: r.startLimit(), nextPoll: r.now, polled: !r.cfg.Probing,
 			heard: !r.cfg.Probing}
 		r.servers[s.id] = s
 		at, _ := slices.BinarySearchFunc(g.members, s.id, func(m *server, id ServerID) int { return cmp.Compare(m.id, id) })
@@ -242,6 +242,12 @@
 	}
 }
 
+// startLimit is this router's part of what all may send an unknown server at once; at most 2, as routers are
+// unequal and one alone must find out too.
+func (r *Router) startLimit() float64 {
+	return max(leastLimit, min(2, startLimit/float64(max(r.cfg.Routers, 1))))
+}
+
 // gone drops a server. Where only draining binds, a list that merely lacks it proves nothing.
 func (r *Router) gone(s *server) {
 	if r.cfg.SoftRemoval && s.life != LifeDraining {
@@ -317,7 +323,7 @@
 // connection alone is no death: a link that cuts connections now and then must not cost the warm server.
 func (r *Router) recover(s *server) {
 	if s.fails >= failureLimit || s.reset && s.fails > 0 {
-		s.started, s.limit, s.cutAt = max(s.started, r.now), startLimit, 0
+		s.started, s.limit, s.cutAt = max(s.started, r.now), r.startLimit(), 0
 	}
 }
 
@@ -694,7 +700,7 @@
 		r.cut(s, limitCut)
 	} else if float64(len(s.out)+1) >= s.limit/2 {
 		if s.cutAt == 0 {
-			s.limit++
+			s.limit += min(1, s.limit/2)
 		} else {
 			s.limit += min(1/s.limit, limitGrowth*max(s.limit, 0.5))
 		}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -36,6 +36,7 @@
 func (s *settings) config() balance.Config {
 	cfg := balance.Config{
 		Zone:          int(s.number("locality", 0)),
+		Routers:       int(s.number("n-instances", 0)),
 		Round:         s.time("round"),
 		Origin:        s.time("family-info.origin-time"),
 		Positions:     s.flag("family-info.positions"),
