--- a/balance/balance.go
+++ b/balance/balance.go
@@ -417,7 +417,8 @@
 		r.finish(q) // it may come with no time left: waiting for a sweep would lose it
 		return
 	}
-	r.queue, r.kick = append(r.queue, q), true // the sweep of this batch places it, the worthiest first
+	r.queue = append(r.queue, q)
+	r.place(q)
 }
 
 func (r *Router) sessionNeed(e *Event) time.Duration {
