--- /dev/null
+++ b/balance/invariant_test.go
@@ -0,0 +1,210 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+)
+
+// ledger checks the actions of a router against the rules, under random events.
+type ledger struct {
+	t        *testing.T
+	cfg      Config
+	now      time.Duration
+	open     map[RequestID]*entry
+	drained  map[ServerID]time.Duration
+	position map[ServerID]time.Duration
+	primary  map[ServerID]bool // named primary at some time, by what the router was told
+}
+
+type entry struct {
+	class *Class
+	out   map[int]ServerID
+	sends int
+	ran   bool
+	first time.Duration
+	final bool
+	end   time.Duration
+}
+
+func (l *ledger) check(acts []Action) {
+	for _, a := range acts {
+		switch a.Kind {
+		case ActionTry:
+			l.try(a)
+		case ActionReject, ActionFail:
+			e := l.open[a.Request]
+			if e == nil || e.final {
+				l.t.Fatalf("second final answer of %d", a.Request)
+			}
+			if a.Kind == ActionReject && e.class.Effect != Safe && (e.ran || len(e.out) > 0) {
+				l.t.Errorf("reject of %d that may have run", a.Request)
+			}
+			e.final = true
+		}
+	}
+}
+
+func (l *ledger) try(a Action) {
+	e := l.open[a.Request]
+	if e == nil || e.final {
+		l.t.Fatalf("try of %d, which is finished", a.Request)
+	}
+	if len(e.out) > 0 && !l.cfg.ParallelTries {
+		l.t.Errorf("two attempts of %d out together", a.Request)
+	}
+	if e.ran || len(e.out) > 0 {
+		if e.class.Effect == Unsafe || e.class.Effect == Keyed && l.now-e.first >= e.class.Window {
+			l.t.Errorf("resend of %d, which may have run", a.Request)
+		}
+	} else {
+		e.first = l.now
+	}
+	if at, ok := l.drained[a.Server]; ok && l.now-at > l.cfg.DrainGrace {
+		l.t.Errorf("send to a server drained for %v", l.now-at)
+	}
+	if e.class.Need == NeedBounded && l.cfg.Behind == BehindServe && !l.primary[a.Server] &&
+		l.position[a.Server] < l.now-e.class.Bound {
+		l.t.Errorf("bounded read of %d sent without proof", a.Request)
+	}
+	e.out[e.sends] = a.Server
+	e.sends++
+}
+
+// play feeds a random stream and returns every action as text.
+func play(t *testing.T, cfg Config, seed uint64) string {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	r, err := New(cfg, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &ledger{t: t, cfg: cfg, now: 50 * time.Second, open: map[RequestID]*entry{}, drained: map[ServerID]time.Duration{},
+		position: map[ServerID]time.Duration{}, primary: map[ServerID]bool{}}
+	list := Event{Kind: EventList, List: ListCached}
+	for i := range 5 {
+		list.Entries = append(list.Entries, Entry{Server: ServerID(i + 1)})
+	}
+	events, text, next := []Event{list}, "", RequestID(1)
+	token := uint64(0)
+	for range 1500 {
+		acts := r.Step(l.now, events, nil)
+		l.check(acts)
+		text += fmt.Sprintln(acts)
+		polls := []ServerID{}
+		for _, a := range acts {
+			if a.Kind == ActionPoll {
+				polls = append(polls, a.Server)
+			} else if a.Kind == ActionTimer {
+				token = a.Token
+			}
+		}
+		l.now += cfg.Round
+		events = append(l.random(rng, polls), Event{Kind: EventTimer, Token: token})
+		for range rng.IntN(3) {
+			class := rng.IntN(len(cfg.Classes))
+			c := &cfg.Classes[class]
+			e := &entry{class: c, out: map[int]ServerID{}, end: l.now + time.Duration(rng.Int64N(int64(c.Deadline)))}
+			l.open[next] = e
+			events = append(events, Event{Kind: EventRequest, Request: next, Class: class, Key: rng.Uint64N(9), Deadline: e.end})
+			next++
+		}
+	}
+	return text
+}
+
+// random ends some attempts and polls, lets clients leave, and drains a server now and then.
+func (l *ledger) random(rng *rand.Rand, polls []ServerID) (events []Event) {
+	for _, s := range polls {
+		o := OutcomeOK
+		if rng.IntN(10) == 0 {
+			o = OutcomeTimeout
+		}
+		rep := Report{Valid: true, HasPosition: true, HasRole: true, Primary: s == 1 || rng.IntN(20) == 0,
+			Position: l.now - l.cfg.Origin - time.Duration(rng.Int64N(int64(400*ms)))}
+		if o == OutcomeOK {
+			l.tell(s, rep.Position, rep.Primary)
+		} else {
+			rep = Report{}
+		}
+		events = append(events, Event{Kind: EventPoll, Server: s, Outcome: o, Age: ms, Report: rep})
+	}
+	for id := RequestID(1); id <= RequestID(len(l.open)); id++ {
+		e := l.open[id]
+		if !e.final && l.now > e.end+l.cfg.AnswerSlack {
+			l.t.Fatalf("request %d got no final answer in its time", id)
+		}
+		if !e.final && rng.IntN(500) == 0 {
+			e.final = true
+			events = append(events, Event{Kind: EventAborted, Request: id})
+		}
+		for n := range e.sends {
+			s, ok := e.out[n]
+			if ok && (rng.IntN(20) == 0 || l.now >= e.end) {
+				events = append(events, l.ended(rng, id, e, n, s))
+			}
+		}
+	}
+	if s := ServerID(rng.IntN(5) + 1); rng.IntN(400) == 0 {
+		if _, ok := l.drained[s]; ok {
+			delete(l.drained, s)
+			events = append(events, Event{Kind: EventList, Entries: []Entry{{Server: s}}})
+		} else {
+			l.drained[s] = l.now
+			events = append(events, Event{Kind: EventList, Entries: []Entry{{Server: s, Life: LifeDraining}}})
+		}
+	}
+	return events
+}
+
+func (l *ledger) tell(s ServerID, position time.Duration, primary bool) {
+	l.position[s] = max(l.position[s], l.cfg.Origin+position)
+	l.primary[s] = l.primary[s] || primary
+}
+
+func (l *ledger) ended(rng *rand.Rand, id RequestID, e *entry, n int, s ServerID) Event {
+	delete(e.out, n)
+	o := []Outcome{OutcomeOK, OutcomeOK, OutcomeError, OutcomeFull, OutcomeConnectFailed, OutcomeReset, OutcomeMiss,
+		OutcomeCancelled}[rng.IntN(8)]
+	if l.now >= e.end {
+		o = OutcomeTimeout
+	}
+	ev := Event{Kind: EventOutcome, Request: id, Attempt: n, Server: s, Outcome: o, Age: 20 * ms}
+	switch o {
+	case OutcomeOK, OutcomeMiss, OutcomeFull, OutcomeError:
+		ev.Role, ev.Position = RoleReplica, l.now-l.cfg.Origin-time.Duration(rng.Int64N(int64(300*ms)))
+		if s == 1 && o != OutcomeMiss {
+			ev.Role = RolePrimary
+		}
+		l.tell(s, ev.Position, ev.Role == RolePrimary)
+	}
+	switch o {
+	case OutcomeOK:
+		e.final = true
+	case OutcomeFull, OutcomeConnectFailed, OutcomeMiss:
+	default:
+		e.ran = true
+	}
+	ev.Settled = e.final
+	return ev
+}
+
+func TestRulesHoldUnderRandomEvents(t *testing.T) {
+	for seed := range uint64(12) {
+		cfg := baseConfig()
+		cfg.ParallelTries = seed%2 == 1
+		cfg.RouterTokens = seed%3 == 1
+		cfg.AskList = seed%4 == 3
+		if seed%5 == 2 {
+			cfg.Behind, cfg.CatchUpWait = BehindWait, 100*ms
+		}
+		first := play(t, cfg, seed)
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+		if !reflect.DeepEqual(first, play(t, cfg, seed)) {
+			t.Errorf("seed %d: the same events gave other actions", seed)
+		}
+	}
+}
