--- a/balance/balance.go
+++ b/balance/balance.go
@@ -88,6 +88,7 @@
 	heardAt  time.Duration // when it was told
 	denied   time.Duration // when it last said that it is no primary
 	polled   bool          // answered a poll since it last failed
+	polledAt time.Duration
 	fails    int
 	polling  bool
 	heard    bool // its first poll has ended
@@ -305,7 +306,7 @@
 	s.polling, s.heard = false, true
 	if e.Outcome == OutcomeOK {
 		r.recover(s)
-		s.fails, s.polled, s.reset = 0, true, false
+		s.fails, s.polled, s.reset, s.polledAt = 0, true, false, r.now
 		r.report(s, &e.Report)
 		if s.group.primary == s && e.Report.Primary {
 			s.group.named = max(s.group.named, r.now-e.Age)
@@ -350,6 +351,9 @@
 // note takes what an answer tells. The position of a write's answer is its commit, rounded up.
 func (r *Router) note(s *server, e *Event, write bool) {
 	at := r.now - r.cfg.Round
+	if e.Position > 0 || e.Report.HasPosition {
+		r.postpone(s)
+	}
 	if e.Position > 0 {
 		at = r.cfg.Origin + e.Position
 		if write && e.Outcome == OutcomeOK {
@@ -376,6 +380,14 @@
 	r.report(s, &e.Report)
 }
 
+// postpone puts a poll off by an interval, to the cap at most, when an answer has just told what it would.
+// Polls of many routers are dear; while work may wait for a primary none is put off.
+func (r *Router) postpone(s *server) {
+	if s.group.primary != nil && s.nextPoll > r.now {
+		s.nextPoll = max(s.nextPoll, min(r.now+r.interval, s.polledAt+pollCap*r.interval))
+	}
+}
+
 // claims names s primary as of a time. A primary's position is the present, so positions order the
 // claims of all servers by age: an older one never overrules a newer one.
 func (r *Router) claims(s *server, at time.Duration) {
