--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,7 +20,7 @@
 	pollJitter     = 0.4  // random part of a poll's wait, in intervals (step 1)
 	pollCap        = 5    // longest wait between polls, in intervals (step 1)
 	startLimit     = 6.0  // outstanding requests, of all routers, that a server may hold before its answers tell more
-	leastLimit     = 0.05 // the limit never falls below this; below 1 it spaces single requests
+	leastLimit     = 2.5  // outstanding requests, of all routers, below which a limit no longer shortens answers
 	limitCut       = 0.9  // the limit's factor after an answer near its target
 	limitGrowth    = 0.05 // most growth of a limit by one answer, as a share of it
 	fullCut        = 0.6  // the limit's factor after a refusal for want of room, or no answer in time
@@ -246,7 +246,7 @@
 // startLimit is this router's part of what all may send an unknown server at once; at most 2, as routers are
 // unequal and one alone must find out too.
 func (r *Router) startLimit() float64 {
-	return max(leastLimit, min(2, startLimit/float64(max(r.cfg.Routers, 1))))
+	return min(2, startLimit/float64(max(r.cfg.Routers, 1)))
 }
 
 // gone drops a server. Where only draining binds, a list that merely lacks it proves nothing.
@@ -719,10 +719,12 @@
 	}
 }
 
-// cut lowers a server's limit, once for each time that news of the cut takes.
+// cut lowers a server's limit, once for each time that news of the cut takes. It keeps this router's part of
+// a few requests: where all answers are slow for want of nothing but speed, cutting on would idle the server.
 func (r *Router) cut(s *server, factor float64) {
 	if float64(r.now-s.cutAt) > s.group.latency {
-		s.limit, s.cutAt = max(leastLimit, min(s.limit, float64(len(s.out)+1))*factor), r.now
+		least := leastLimit / float64(max(r.cfg.Routers, 1))
+		s.limit, s.cutAt = max(least, min(s.limit, float64(len(s.out)+1))*factor), r.now
 	}
 }
 
