--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,7 +22,7 @@
 	startLimit     = 6.0  // outstanding requests, of all routers, that a server may hold before its answers tell more
 	leastLimit     = 2.5  // outstanding requests, of all routers, below which a limit no longer shortens answers
 	limitCut       = 0.9  // the limit's factor after an answer near its target
-	limitGrowth    = 0.03 // most growth of a limit by one answer, as a share of it
+	limitGrowth    = 0.05 // most growth of a limit by one answer, as a share of it
 	fullCut        = 0.6  // the limit's factor after a refusal for want of room, or no answer in time
 	nearTarget     = 0.5  // share of the target at which an answer counts as near it
 	fallbackShare  = 0.6  // part of the primary's limit open to reads that replicas could serve
