--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,7 +19,7 @@
 	failureLimit   = 2    // failed polls in a row until a server is down (step 1)
 	pollJitter     = 0.4  // random part of a poll's wait, in intervals (step 1)
 	pollCap        = 5    // longest wait between polls, in intervals (step 1)
-	startLimit     = 6.0  // outstanding requests, of all routers, that a server may hold before its answers tell more
+	startLimit     = 6.0  // outstanding requests, of all routers, at a server that is not known yet
 	leastLimit     = 2.5  // outstanding requests, of all routers, below which a limit no longer shortens answers
 	limitCut       = 0.9  // the limit's factor after an answer near its target
 	limitGrowth    = 0.05 // most growth of a limit by one answer, as a share of it
@@ -232,8 +232,8 @@
 		s = &server{id: e.Server, group: g, limit: r.startLimit(), nextPoll: r.now, polled: !r.cfg.Probing,
 			heard: !r.cfg.Probing}
 		r.servers[s.id] = s
-		at, _ := slices.BinarySearchFunc(g.members, s.id, func(m *server, id ServerID) int { return cmp.Compare(m.id, id) })
-		g.members = slices.Insert(g.members, at, s)
+		g.members = append(g.members, s)
+		slices.SortFunc(g.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 	} else if e.Started > s.started && s.group.primary == s {
 		s.group.primary = nil // a process that started again begins as a replica
 	}
@@ -243,11 +243,11 @@
 	}
 }
 
-// startLimit is this router's part of what all may send an unknown server at once; at most 2, as routers are
-// unequal and one alone must find out too.
-func (r *Router) startLimit() float64 {
-	return min(2, startLimit/float64(max(r.cfg.Routers, 1)))
-}
+// ours is this router's part of what all routers may have out at a server.
+func (r *Router) ours(total float64) float64 { return total / float64(max(r.cfg.Routers, 1)) }
+
+// startLimit is at most 2: with few routers, an unknown server is not worth more.
+func (r *Router) startLimit() float64 { return min(2, r.ours(startLimit)) }
 
 // gone drops a server. Where only draining binds, a list that merely lacks it proves nothing.
 func (r *Router) gone(s *server) {
@@ -265,11 +265,7 @@
 func (r *Router) groupOf(n int) *group {
 	g := r.groups[n]
 	if g == nil {
-		least := r.cfg.Classes[0].Target
-		for i := range r.cfg.Classes {
-			least = min(least, r.cfg.Classes[i].Target)
-		}
-		g = &group{latency: float64(least) / 4}
+		g = &group{latency: float64(r.interval) / 4}
 		r.groups[n] = g
 		r.order = append(r.order, g)
 	}
@@ -374,7 +370,7 @@
 		s.denied = max(s.denied, at)
 		if s.group.primary == s && at+time.Millisecond > s.group.claim {
 			s.group.primary = nil
-			r.hurry(s.group)
+			r.hurry(s.group, 0)
 		}
 	}
 	r.report(s, &e.Report)
@@ -402,10 +398,10 @@
 	}
 }
 
-// hurry polls a group at once, without waiting for its timers.
-func (r *Router) hurry(g *group) {
+// hurry has a group polled within a time, whatever its backoff.
+func (r *Router) hurry(g *group, within time.Duration) {
 	for _, s := range g.members {
-		s.nextPoll = min(s.nextPoll, r.now)
+		s.nextPoll = min(s.nextPoll, r.now+within)
 	}
 }
 
@@ -526,26 +522,21 @@
 
 // leastLoaded picks among the active replicas whose told position suffices, ties in turn.
 func (r *Router) leastLoaded(q *request) *server {
-	var best *server
-	for _, s := range q.group.members {
-		if s == q.group.primary || s == q.last || !r.proven(s, q) || !r.takes(s, q, 1) {
-			continue
-		}
-		if best == nil || len(s.out) < len(best.out) || len(s.out) == len(best.out) && s.turn < best.turn {
-			best = s
-		}
-	}
-	return best
+	return r.best(q, r.proven, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(len(a.out), len(b.out)), cmp.Compare(a.turn, b.turn))
+	})
 }
 
 // mostAdvanced picks the replica that most likely has what a read needs, where servers check reads.
 func (r *Router) mostAdvanced(q *request) *server {
+	return r.best(q, r.hopeful, func(a, b *server) int { return cmp.Compare(b.position, a.position) })
+}
+
+// best picks the first by an order among the replicas that fit and have room.
+func (r *Router) best(q *request, fit func(*server, *request) bool, order func(a, b *server) int) *server {
 	var best *server
 	for _, s := range q.group.members {
-		if s == q.group.primary || s == q.last || !r.hopeful(s, q) || !r.takes(s, q, 1) {
-			continue
-		}
-		if best == nil || s.position > best.position {
+		if s != q.group.primary && s != q.last && fit(s, q) && r.takes(s, q, 1) && (best == nil || order(s, best) < 0) {
 			best = s
 		}
 	}
@@ -662,7 +653,7 @@
 		q.missed = q.missed || e.Outcome == OutcomeMiss
 		if q.class.Need == NeedWrite {
 			q.after = r.now
-			r.hurry(q.group)
+			r.hurry(q.group, 0)
 		}
 	default:
 		q.ran = true
@@ -723,8 +714,7 @@
 // a few requests: where all answers are slow for want of nothing but speed, cutting on would idle the server.
 func (r *Router) cut(s *server, factor float64) {
 	if float64(r.now-s.cutAt) > s.group.latency {
-		least := leastLimit / float64(max(r.cfg.Routers, 1))
-		s.limit, s.cutAt = max(least, min(s.limit, float64(len(s.out)+1))*factor), r.now
+		s.limit, s.cutAt = max(r.ours(leastLimit), min(s.limit, float64(len(s.out)+1))*factor), r.now
 	}
 }
 
@@ -793,18 +783,11 @@
 	slices.SortStableFunc(r.held, func(a, b *request) int { return cmp.Compare(r.worth(b), r.worth(a)) })
 	for _, q := range r.held {
 		if !r.place(q) && q.class.Need <= NeedFresh && (q.group.primary == nil || !q.group.primary.polled) {
-			r.pollGroup(q.group)
+			r.hurry(q.group, r.interval) // no backoff while work waits for a primary
 		}
 	}
 }
 
-// pollGroup keeps polls at one interval, without backoff, while work waits for a primary.
-func (r *Router) pollGroup(g *group) {
-	for _, s := range g.members {
-		s.nextPoll = min(s.nextPoll, r.now+r.interval)
-	}
-}
-
 func (r *Router) worth(q *request) float64 {
 	if r.now-q.arrived > q.class.Target {
 		return q.class.Worth * q.class.LateWorth
