--- a/balance/balance.go
+++ b/balance/balance.go
@@ -536,7 +536,10 @@
 func (r *Router) best(q *request, fit func(*server, *request) bool, order func(a, b *server) int) *server {
 	var best *server
 	for _, s := range q.group.members {
-		if s != q.group.primary && s != q.last && fit(s, q) && r.takes(s, q, 1) && (best == nil || order(s, best) < 0) {
+		if s == q.group.primary || s == q.last || !fit(s, q) || !r.takes(s, q, 1) {
+			continue
+		}
+		if best == nil || order(s, best) < 0 {
 			best = s
 		}
 	}
