--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,9 +21,9 @@
 	pollCap        = 5    // longest wait between polls, in intervals (step 1)
 	startLimit     = 6.0  // outstanding requests, of all routers, at a server that is not known yet
 	leastLimit     = 2.5  // outstanding requests, of all routers, below which a limit no longer shortens answers
-	limitCut       = 0.9  // the limit's factor after an answer near its target, or none in time
+	limitCut       = 0.9  // the limit's factor after an answer near its target
 	limitGrowth    = 0.05 // most growth of a limit by one answer, as a share of it
-	fullCut        = 0.6  // the limit's factor after a refusal for want of room
+	fullCut        = 0.6  // the limit's factor after a refusal for want of room, or no answer in time
 	nearTarget     = 0.5  // share of the target at which an answer counts as near it
 	fallbackShare  = 0.6  // part of the primary's limit open to reads that replicas could serve
 	writeShare     = 2.0  // part of the primary's limit open to writes
@@ -688,7 +688,7 @@
 		}
 	case OutcomeTimeout, OutcomeCancelled:
 		if q != nil && float64(e.Age) > nearTarget*float64(q.class.Target) {
-			r.cut(s, limitCut) // one that was given little time tells nothing
+			r.cut(s, fullCut) // one that was given little time tells nothing
 		}
 	case OutcomeReset:
 		s.reset, s.polled, s.nextPoll = true, !r.cfg.Probing, r.now
