--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,6 +28,7 @@
 	fallbackShare  = 0.6  // part of the primary's limit open to reads that replicas could serve
 	writeShare     = 2.0  // part of the primary's limit open to writes
 	patienceFactor = 3.0  // a server is silent after this many mean latencies without an answer
+	lonePatience   = 2    // patience is this much longer with a server's only request
 	latencyWeight  = 0.05 // weight of a new answer in the mean latency
 	retryShare     = 0.2  // retry budget earned by each first attempt
 	retryBurst     = 20.0 // most retry budget kept
@@ -119,6 +120,7 @@
 	since    time.Duration // send of the first attempt that may have run
 	after    time.Duration // a poll sent later must name the primary
 	last     *server
+	sent     time.Duration // when its last attempt went
 	pulled   bool
 	missed   bool
 	streamed bool
@@ -459,7 +461,7 @@
 	}
 	s.out = append(s.out, flight{q.id, q.sends, r.now})
 	r.acts = append(r.acts, Action{Kind: ActionTry, Request: q.id, Server: s.id})
-	q.sends, q.out, q.last, q.pulled = q.sends+1, q.out+1, s, false
+	q.sends, q.out, q.last, q.sent, q.pulled = q.sends+1, q.out+1, s, r.now, false
 	r.turn++
 	s.turn = r.turn
 	s.count, s.countAt = r.recent(s)+1, r.now
@@ -829,13 +831,14 @@
 	}
 }
 
+// silentOn tells whether q's server has been silent since q came. One request alone proves less: it may just be
+// a long one, and starting it anew elsewhere would make it late.
 func (r *Router) silentOn(s *server, q *request) bool {
-	for _, f := range s.out {
-		if f.id == q.id {
-			return r.now-max(f.sent, s.answered) > r.patience(q.group)
-		}
+	patience := r.patience(q.group)
+	if len(s.out) == 1 {
+		patience *= lonePatience
 	}
-	return false
+	return r.now-max(q.sent, s.answered) > patience && slices.ContainsFunc(s.out, func(f flight) bool { return f.id == q.id })
 }
 
 func (r *Router) muted(s *server) {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -247,3 +247,30 @@
 	g.ask(2, fresh)
 	g.wantTries(2)
 }
+
+func TestLongLoneRequestIsNotTakenForSilence(t *testing.T) {
+	g := newRig(t, baseConfig(), 3)
+	g.ready(3)
+	g.ask(1, anyRead)
+	withdrawn := func() bool {
+		for _, a := range g.last {
+			if a.Kind == ActionWithdraw {
+				return true
+			}
+		}
+		return false
+	}
+	for range 36 { // 180 ms: three and a half first mean latencies of 50 ms
+		g.run(5 * ms)
+		if withdrawn() {
+			t.Fatal("one long request was started anew elsewhere")
+		}
+	}
+	for range 40 {
+		g.run(5 * ms)
+		if withdrawn() {
+			return
+		}
+	}
+	t.Error("a server that never answers kept its read")
+}
