--- a/balance/balance.go
+++ b/balance/balance.go
@@ -600,11 +600,17 @@
 	if len(s.out) == 0 {
 		return s.mute > 0 && r.now < s.trialAt
 	}
-	return s.mute > 0 || r.now-max(s.answered, s.out[0].sent) > r.patience(s.group)
+	return s.mute > 0 || r.now-max(s.answered, s.out[0].sent) > r.patience(s)
 }
 
-func (r *Router) patience(g *group) time.Duration {
-	return max(time.Duration(patienceFactor*g.latency), 10*r.cfg.Round)
+// patience is how long a server may go without an answer. One request alone proves less than several: it may
+// just be a long one, and starting it anew elsewhere would make it late.
+func (r *Router) patience(s *server) time.Duration {
+	patience := max(time.Duration(patienceFactor*s.group.latency), 10*r.cfg.Round)
+	if len(s.out) == 1 {
+		patience *= lonePatience
+	}
+	return patience
 }
 
 // warmEnough bounds the sends to a cold server to a share of this router's own sends to its warm peers.
@@ -831,14 +837,10 @@
 	}
 }
 
-// silentOn tells whether q's server has been silent since q came. One request alone proves less: it may just be
-// a long one, and starting it anew elsewhere would make it late.
+// silentOn tells whether q's server has been silent since q came.
 func (r *Router) silentOn(s *server, q *request) bool {
-	patience := r.patience(q.group)
-	if len(s.out) == 1 {
-		patience *= lonePatience
-	}
-	return r.now-max(q.sent, s.answered) > patience && slices.ContainsFunc(s.out, func(f flight) bool { return f.id == q.id })
+	return r.now-max(q.sent, s.answered) > r.patience(s) &&
+		slices.ContainsFunc(s.out, func(f flight) bool { return f.id == q.id })
 }
 
 func (r *Router) muted(s *server) {
