--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,7 +27,7 @@
 	nearTarget     = 0.5  // share of the target at which an answer counts as near it
 	fallbackShare  = 0.6  // part of the primary's limit open to reads that replicas could serve
 	writeShare     = 2.0  // part of the primary's limit open to writes
-	patienceFactor = 7.0  // a server is silent after this many mean latencies without an answer
+	patienceFactor = 4.5  // a server is silent after this many mean latencies without an answer
 	lonePatience   = 2    // patience is this much longer with a server's only request
 	latencyWeight  = 0.05 // weight of a new answer in the mean latency
 	retryShare     = 0.2  // retry budget earned by each first attempt
