--- a/balance/balance.go
+++ b/balance/balance.go
@@ -815,7 +815,7 @@
 	if q.class.LateWorth == 0 {
 		end = min(end, q.arrived+q.class.Target)
 	}
-	need := min(time.Duration(1.5*q.group.latency), q.class.Target/2) // a slow spell must not refuse all unseen
+	need := min(time.Duration(q.group.latency), q.class.Target/2) // a slow spell must not refuse all unseen
 	return min(end-need, q.deadline-2*r.cfg.Round)
 }
 
