--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,6 +24,7 @@
 	limitCut       = 0.9  // the limit's factor after an answer near its target
 	limitGrowth    = 0.05 // most growth of a limit by one answer, as a share of it
 	fullCut        = 0.6  // the limit's factor after a refusal for want of room, or no answer in time
+	lostCut        = 0.75 // the limit's factor after no answer in time, where a later send was answered
 	nearTarget     = 0.5  // share of the target at which an answer counts as near it
 	fallbackShare  = 0.6  // part of the primary's limit open to reads that replicas could serve
 	writeShare     = 2.0  // part of the primary's limit open to writes
@@ -99,7 +100,8 @@
 	limit    float64
 	cutAt    time.Duration
 	answered time.Duration
-	mute     int // attempts given up in silence since its last answer
+	reached  time.Duration // when the latest send that was answered went
+	mute     int           // attempts given up in silence since its last answer
 	trialAt  time.Duration
 	count    float64 // recent sends, decayed
 	countAt  time.Duration
@@ -687,7 +689,7 @@
 	s.out = slices.DeleteFunc(s.out, func(f flight) bool { return f.id == e.Request && f.attempt == e.Attempt })
 	switch e.Outcome {
 	case OutcomeOK, OutcomeError, OutcomeFull, OutcomeMiss:
-		s.answered, s.mute = r.now, 0
+		s.answered, s.reached, s.mute = r.now, max(s.reached, r.now-e.Age), 0
 		r.note(s, e, q != nil && q.class.Need == NeedWrite)
 		if e.Outcome == OutcomeOK {
 			r.learn(s, q, e.Age)
@@ -695,8 +697,14 @@
 			r.cut(s, fullCut)
 		}
 	case OutcomeTimeout, OutcomeCancelled:
-		if q != nil && float64(e.Age) > nearTarget*float64(q.class.Target) {
-			r.cut(s, fullCut) // one that was given little time tells nothing
+		// One that was given little time tells nothing. One overtaken by an answer to a later send may have
+		// been lost on its way, not queued: strong cuts would idle all servers behind a link that loses some.
+		switch {
+		case q == nil || float64(e.Age) <= nearTarget*float64(q.class.Target):
+		case r.now-e.Age < s.reached:
+			r.cut(s, lostCut)
+		default:
+			r.cut(s, fullCut)
 		}
 	case OutcomeReset:
 		s.reset, s.polled, s.nextPoll = true, !r.cfg.Probing, r.now
