--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,8 +24,6 @@
 	limitCut       = 0.9  // the limit's factor after an answer near its target
 	limitGrowth    = 0.05 // most growth of a limit by one answer, as a share of it
 	fullCut        = 0.6  // the limit's factor after a refusal for want of room, or no answer in time
-	lossExcess     = 1.5  // a server that loses this many times its group's share of answers is cut for it
-	lossWeight     = 0.1  // weight of a new outcome in a server's share of lost answers
 	nearTarget     = 0.5  // share of the target at which an answer counts as near it
 	fallbackShare  = 0.6  // part of the primary's limit open to reads that replicas could serve
 	writeShare     = 2.0  // part of the primary's limit open to writes
@@ -71,7 +69,6 @@
 	claim   time.Duration
 	named   time.Duration // when the newest poll that named the primary was sent
 	latency float64       // mean of answers, ns
-	lost    float64       // mean share of attempts without an answer
 	warm    float64       // mean recent sends to a warm member
 }
 
@@ -100,11 +97,9 @@
 	nextPoll time.Duration
 	out      []flight
 	limit    float64
-	lost     float64 // share of attempts without an answer
 	cutAt    time.Duration
 	answered time.Duration
-	reached  time.Duration // when the latest send that was answered went
-	mute     int           // attempts given up in silence since its last answer
+	mute     int // attempts given up in silence since its last answer
 	trialAt  time.Duration
 	count    float64 // recent sends, decayed
 	countAt  time.Duration
@@ -692,8 +687,7 @@
 	s.out = slices.DeleteFunc(s.out, func(f flight) bool { return f.id == e.Request && f.attempt == e.Attempt })
 	switch e.Outcome {
 	case OutcomeOK, OutcomeError, OutcomeFull, OutcomeMiss:
-		s.answered, s.reached, s.mute = r.now, max(s.reached, r.now-e.Age), 0
-		r.lose(s, 0)
+		s.answered, s.mute = r.now, 0
 		r.note(s, e, q != nil && q.class.Need == NeedWrite)
 		if e.Outcome == OutcomeOK {
 			r.learn(s, q, e.Age)
@@ -701,14 +695,8 @@
 			r.cut(s, fullCut)
 		}
 	case OutcomeTimeout, OutcomeCancelled:
-		// One that was given little time tells nothing. One overtaken by an answer to a later send was lost,
-		// not queued; a loss shared by all must not idle all, so it counts where peers lose less.
-		if q == nil || float64(e.Age) <= nearTarget*float64(q.class.Target) {
-			break
-		}
-		r.lose(s, 1)
-		if r.now-e.Age >= s.reached || s.lost > lossExcess*s.group.lost {
-			r.cut(s, fullCut)
+		if q != nil && float64(e.Age) > nearTarget*float64(q.class.Target) {
+			r.cut(s, fullCut) // one that was given little time tells nothing
 		}
 	case OutcomeReset:
 		s.reset, s.polled, s.nextPoll = true, !r.cfg.Probing, r.now
@@ -717,11 +705,6 @@
 	}
 }
 
-func (r *Router) lose(s *server, lost float64) {
-	s.lost += lossWeight * (lost - s.lost)
-	s.group.lost += lossWeight / float64(len(s.group.members)+1) * (lost - s.group.lost)
-}
-
 // learn moves the mean latency and the server's limit. Answers near their target say that its queue is
 // as long as it may be; requests beyond the limit wait here, where the worthiest goes first.
 func (r *Router) learn(s *server, q *request, age time.Duration) {
