Keyed resends stay in the zone that discards repeats; routers without polls find the primary by misses

Danger: with scope 'zone', a resend to a new primary in another zone could run twice; without polls a write would wait for ever. Tests fail without either.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -79,52 +79,49 @@
 }
 
 type server struct {
-	id       ServerID
-	group    *group
-	zone     int
-	life     Life
-	toldAt   time.Duration
-	started  time.Duration
-	position time.Duration // the highest told
-	heardAt  time.Duration // when it was told
-	denied   time.Duration // when it last said that it is no primary
-	polled   bool          // answered a poll since it last failed
-	polledAt time.Duration
-	fails    int
-	polling  bool
-	heard    bool // its first poll has ended
-	reset    bool
-	nextPoll time.Duration
-	out      []flight
-	limit    float64
-	cutAt    time.Duration
-	answered time.Duration
-	mute     int // attempts given up in silence since its last answer
-	trialAt  time.Duration
-	count    float64 // recent sends, decayed
-	countAt  time.Duration
-	turn     uint64
+	id             ServerID
+	group          *group
+	zone           int
+	life           Life
+	toldAt         time.Duration
+	started        time.Duration
+	position       time.Duration // the highest told
+	heardAt        time.Duration // when it was told
+	denied         time.Duration // when it last said that it is no primary
+	polled         bool          // answered a poll since it last failed
+	polledAt       time.Duration
+	fails          int
+	polling, reset bool
+	heard          bool // its first poll has ended
+	nextPoll       time.Duration
+	out            []flight
+	limit          float64
+	cutAt          time.Duration
+	answered       time.Duration
+	mute           int // attempts given up in silence since its last answer
+	trialAt        time.Duration
+	count          float64 // recent sends, decayed
+	countAt        time.Duration
+	turn           uint64
 }
 
 type request struct {
-	id       RequestID
-	class    *Class
-	group    *group
-	key      uint64
-	arrived  time.Duration
-	deadline time.Duration
-	need     time.Duration // position that a session read must see
-	sends    int
-	out      int
-	ran      bool          // an ended attempt may have run
-	since    time.Duration // send of the first attempt that may have run
-	after    time.Duration // a poll sent later must name the primary
-	last     *server
-	sent     time.Duration // when its last attempt went
-	pulled   bool
-	missed   bool
-	streamed bool
-	done     bool
+	id                             RequestID
+	class                          *Class
+	group                          *group
+	key                            uint64
+	arrived                        time.Duration
+	deadline                       time.Duration
+	need                           time.Duration // position that a session read must see
+	sends                          int
+	out                            int
+	ran                            bool          // an ended attempt may have run
+	since                          time.Duration // send of the first attempt that may have run
+	zone                           int           // of its server
+	after                          time.Duration // a poll sent later must name the primary
+	last                           *server
+	sent                           time.Duration // when its last attempt went
+	pulled, missed, streamed, done bool
 }
 
 // New returns a router that knows nothing yet. An unusable Config is an error.
@@ -144,7 +141,12 @@
 	}
 	cfg.Round = max(cfg.Round, time.Millisecond)
 	cfg.TryLimit = max(cfg.TryLimit, 1)
-	return &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed)), servers: map[ServerID]*server{},
+	askAt := time.Duration(math.MaxInt64)
+	if cfg.AskList {
+		askAt = math.MinInt64
+	}
+	return &Router{cfg: cfg, askAt: askAt,
+		rng: rand.New(rand.NewPCG(seed, seed)), servers: map[ServerID]*server{},
 		groups: map[int]*group{}, open: map[RequestID]*request{}, sessions: map[uint64]time.Duration{},
 		interval: max(least, 10*cfg.Round), sweepGap: max(cfg.Round, least/25), budget: retryBurst}, nil
 }
@@ -152,11 +154,7 @@
 // Step takes a batch of events, all at one clock, and appends the actions to take, in order. A clock
 // before an earlier one counts as the latest seen.
 func (r *Router) Step(now time.Duration, events []Event, actions []Action) []Action {
-	first := r.turn == 0 && r.askAt == 0
 	r.now, r.acts = max(now, r.now), actions
-	if first && r.cfg.AskList {
-		r.subscribe()
-	}
 	for i := range events {
 		r.take(&events[i])
 	}
@@ -283,7 +281,7 @@
 
 // pollDue sends the polls whose own timers have come (step 1).
 func (r *Router) pollDue() {
-	if r.now >= r.askAt && r.askAt > 0 {
+	if r.now >= r.askAt {
 		r.subscribe()
 	}
 	for _, g := range r.order {
@@ -457,7 +455,7 @@
 		r.budget = min(r.budget+retryShare, retryBurst)
 	}
 	if q.out == 0 && !q.ran {
-		q.since = r.now
+		q.since, q.zone = r.now, s.zone
 	}
 	s.out = append(s.out, flight{q.id, q.sends, r.now})
 	r.acts = append(r.acts, Action{Kind: ActionTry, Request: q.id, Server: s.id})
@@ -483,6 +481,11 @@
 	return false
 }
 
+// strays tells whether a resend would leave the servers that discard repeats; the group is always the same.
+func (q *request) strays(s *server) bool {
+	return q.class.Scope == ScopeZone && s.zone != q.zone && (q.ran || q.out > 0)
+}
+
 // mayReject is the ledger's say on whether a client may be told that a further try is harmless.
 func (q *request) mayReject() bool {
 	return q.class.Effect == Safe || q.out == 0 && !q.ran || q.class.Effect == Keyed && q.class.Scope == ScopeAll
@@ -491,13 +494,15 @@
 // pick chooses the server (steps 3 and 4).
 func (r *Router) pick(q *request) *server {
 	p := q.group.primary
-	switch q.class.Need {
-	case NeedWrite, NeedFresh:
+	if q.class.Need <= NeedFresh {
 		share := 1.0
 		if q.class.Need == NeedWrite {
 			share = writeShare
+			if p == nil && !r.cfg.Probing { // nothing else finds it; a miss is harmless
+				p = r.best(q, func(*server, *request) bool { return true }, inTurn)
+			}
 		}
-		if p == nil || q.group.named < q.after && r.cfg.Probing || !r.takes(p, q, share) {
+		if p == nil || q.strays(p) || q.group.named < q.after && r.cfg.Probing || !r.takes(p, q, share) {
 			return nil
 		}
 		return p
@@ -524,9 +529,11 @@
 
 // leastLoaded picks among the active replicas whose told position suffices, ties in turn.
 func (r *Router) leastLoaded(q *request) *server {
-	return r.best(q, r.proven, func(a, b *server) int {
-		return cmp.Or(cmp.Compare(len(a.out), len(b.out)), cmp.Compare(a.turn, b.turn))
-	})
+	return r.best(q, r.proven, inTurn)
+}
+
+func inTurn(a, b *server) int {
+	return cmp.Or(cmp.Compare(len(a.out), len(b.out)), cmp.Compare(a.turn, b.turn))
 }
 
 // mostAdvanced picks the replica that most likely has what a read needs, where servers check reads.
@@ -556,7 +563,8 @@
 	if q.class.Need == NeedBounded {
 		need = r.now - q.class.Bound
 	}
-	return s.position > 0 && need <= s.position+(r.now-s.heardAt)+r.cfg.CatchUpWait
+	return s.position == 0 && !r.cfg.Probing ||
+		s.position > 0 && need <= s.position+(r.now-s.heardAt)+r.cfg.CatchUpWait
 }
 
 // proven tells whether a told position suffices; what a server may have applied since does not count.
@@ -880,9 +888,6 @@
 
 func (r *Router) arm() {
 	next := r.askAt
-	if next == 0 {
-		next = math.MaxInt64
-	}
 	if r.cfg.Probing {
 		for _, g := range r.order {
 			for _, s := range g.members {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -274,3 +274,27 @@
 	}
 	t.Error("a server that never answers kept its read")
 }
+
+func TestKeyedResendStaysInItsZone(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Classes[keyed].Scope = ScopeZone
+	g := newRig(t, cfg, 2)
+	g.step(Event{Kind: EventList, Entries: []Entry{{Server: 2, Zone: 1}}})
+	g.ready(2)
+	g.ask(1, keyed)
+	g.now += 50 * ms
+	g.end(1, 0, 1, OutcomeError, RoleReplica)
+	g.report(2, true, 5*ms)
+	g.run(100 * ms)
+	g.wantTries(1, 1)
+}
+
+func TestWithoutPollsAWriteFindsThePrimaryByMisses(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Probing = false
+	g := newRig(t, cfg, 2)
+	g.ask(1, write)
+	g.wantTries(1, 1)
+	g.end(1, 0, 1, OutcomeMiss, RoleReplica)
+	g.wantTries(1, 1, 2)
+}
