--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,7 +25,7 @@
 	limitGrowth    = 0.05 // most growth of a limit by one answer, as a share of it
 	fullCut        = 0.6  // the limit's factor after a refusal for want of room, or no answer in time
 	nearTarget     = 0.5  // share of the target at which an answer counts as near it
-	fallbackShare  = 0.4  // part of the primary's limit open to reads that replicas could serve
+	fallbackShare  = 0.6  // part of the primary's limit open to reads that replicas could serve
 	writeShare     = 2.0  // part of the primary's limit open to writes
 	patienceFactor = 4.5  // a server is silent after this many mean latencies without an answer
 	lonePatience   = 2    // patience is this much longer with a server's only request
