--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,6 +19,8 @@
 	failureLimit   = 2    // failed polls in a row until a server is down (step 1)
 	pollJitter     = 0.4  // random part of a poll's wait, in intervals (step 1)
 	pollCap        = 5    // longest wait between polls, in intervals (step 1)
+	pollCrowd      = 4    // routers that may poll a server within one interval; more stretch their timers
+	proofPolls     = 2    // polls hurried for a read that no told position suits
 	startLimit     = 6.0  // outstanding requests, of all routers, at a server that is not known yet
 	leastLimit     = 2.5  // outstanding requests, of all routers, below which a limit no longer shortens answers
 	limitCut       = 0.9  // the limit's factor after an answer near its target
@@ -53,7 +55,8 @@
 	pruned   time.Duration
 	budget   float64
 	turn     uint64
-	interval time.Duration
+	interval time.Duration // between polls where work waits for them
+	idle     time.Duration // between polls where answers or nothing need them
 	sweepGap time.Duration
 	swept    time.Duration
 	kick     bool // something changed that may let held requests go
@@ -89,7 +92,7 @@
 	heardAt        time.Duration // when it was told
 	denied         time.Duration // when it last said that it is no primary
 	polled         bool          // answered a poll since it last failed
-	polledAt       time.Duration
+	polledAt       time.Duration // when its last poll went
 	fails          int
 	polling, reset bool
 	heard          bool // its first poll has ended
@@ -113,8 +116,8 @@
 	arrived                        time.Duration
 	deadline                       time.Duration
 	need                           time.Duration // position that a session read must see
-	sends                          int
-	out                            int
+	sends, out, asked              int           // asked: polls hurried for it
+	askedAt                        time.Duration
 	ran                            bool          // an ended attempt may have run
 	since                          time.Duration // send of the first attempt that may have run
 	zone                           int           // of its server
@@ -145,10 +148,11 @@
 	if cfg.AskList {
 		askAt = math.MinInt64
 	}
-	return &Router{cfg: cfg, askAt: askAt,
+	interval := max(least, 10*cfg.Round)
+	return &Router{cfg: cfg, askAt: askAt, idle: interval * time.Duration(max(cfg.Routers, pollCrowd)) / pollCrowd,
 		rng: rand.New(rand.NewPCG(seed, seed)), servers: map[ServerID]*server{},
 		groups: map[int]*group{}, open: map[RequestID]*request{}, sessions: map[uint64]time.Duration{},
-		interval: max(least, 10*cfg.Round), sweepGap: max(cfg.Round, least/25), budget: retryBurst}, nil
+		interval: interval, sweepGap: max(cfg.Round, least/25), budget: retryBurst}, nil
 }
 
 // Step takes a batch of events, all at one clock, and appends the actions to take, in order. A clock
@@ -287,13 +291,17 @@
 	for _, g := range r.order {
 		for _, s := range g.members {
 			if r.cfg.Probing && !s.polling && r.now >= s.nextPoll {
-				s.polling = true
-				r.acts = append(r.acts, Action{Kind: ActionPoll, Server: s.id})
+				r.poll(s)
 			}
 		}
 	}
 }
 
+func (r *Router) poll(s *server) {
+	s.polling, s.polledAt = true, r.now
+	r.acts = append(r.acts, Action{Kind: ActionPoll, Server: s.id})
+}
+
 func (r *Router) polledBy(e *Event) {
 	s := r.servers[e.Server]
 	if s == nil {
@@ -302,7 +310,7 @@
 	s.polling, s.heard = false, true
 	if e.Outcome == OutcomeOK {
 		r.recover(s)
-		s.fails, s.polled, s.reset, s.polledAt = 0, true, false, r.now
+		s.fails, s.polled, s.reset = 0, true, false
 		r.report(s, &e.Report)
 		if s.group.primary == s && e.Report.Primary {
 			s.group.named = max(s.group.named, r.now-e.Age)
@@ -311,8 +319,8 @@
 	} else if s.fails++; s.fails >= failureLimit {
 		s.polled = false
 	}
-	s.nextPoll = r.now + min(time.Duration(1+s.fails)*r.interval, pollCap*r.interval) +
-		time.Duration(pollJitter*r.rng.Float64()*float64(r.interval))
+	s.nextPoll = r.now + min(time.Duration(1+s.fails)*r.idle, pollCap*r.idle) +
+		time.Duration(pollJitter*r.rng.Float64()*float64(r.idle))
 }
 
 // recover starts a server slowly that comes back from what looked like the death of its process. The
@@ -380,7 +388,7 @@
 // Polls of many routers are dear; while work may wait for a primary none is put off.
 func (r *Router) postpone(s *server) {
 	if s.group.primary != nil && s.nextPoll > r.now {
-		s.nextPoll = max(s.nextPoll, min(r.now+r.interval, s.polledAt+pollCap*r.interval))
+		s.nextPoll = max(s.nextPoll, min(r.now+r.idle, s.polledAt+pollCap*r.idle))
 	}
 }
 
@@ -515,12 +523,37 @@
 			return s
 		}
 	}
+	if r.proving(q) {
+		return nil
+	}
 	if p != nil && p != q.last && !q.group.unheard() && r.takes(p, q, fallbackShare) {
 		return p
 	}
 	return nil
 }
 
+// proving hurries polls of replicas for a read that no told position suits, and tells whether one is still
+// out. With many routers the timers and answers of each are too far apart to prove freshness; a poll for
+// the read that needs it is cheaper than timers that run for nothing. It hurts when reports are older than
+// the bound: the read then goes to the primary one poll later.
+func (r *Router) proving(q *request) bool {
+	if !r.cfg.Probing || r.cfg.Behind != BehindServe || q.class.Need == NeedAny {
+		return false
+	}
+	for ; q.asked < proofPolls; q.asked++ {
+		s := r.best(q, func(s *server, q *request) bool {
+			return !s.polling && r.now-s.polledAt > r.interval/4 && !r.proven(s, q)
+		}, inTurn)
+		if s == nil {
+			break
+		}
+		r.poll(s)
+		q.askedAt = r.now
+	}
+	return q.asked > 0 && r.now-q.askedAt < 10*r.cfg.Round && slices.ContainsFunc(q.group.members,
+		func(s *server) bool { return s.polling && s.polledAt == q.askedAt })
+}
+
 // unheard tells whether a member's first poll is still out: which replicas qualify is not known yet, and
 // a restarted router must not send all that it holds to the primary.
 func (g *group) unheard() bool {
