--- a/balance/balance.go
+++ b/balance/balance.go
@@ -251,7 +251,7 @@
 func (r *Router) ours(total float64) float64 { return total / float64(max(r.cfg.Routers, 1)) }
 
 // startLimit is at most 2: with few routers, an unknown server is not worth more.
-func (r *Router) startLimit() float64 { return min(2, r.ours(startLimit)) }
+func (r *Router) startLimit() float64 { return max(1, min(2, r.ours(startLimit))) }
 
 // gone drops a server. Where only draining binds, a list that merely lacks it proves nothing.
 func (r *Router) gone(s *server) {
@@ -627,11 +627,10 @@
 // room tells whether a server may hold one more. Many routers before few servers overload them with one
 // request each; a limit below 1 therefore lets one go only every so often.
 func (r *Router) room(s *server, share float64) bool {
-	limit := s.limit * share
-	if limit >= 1 {
-		return float64(len(s.out)) < limit
+	if s.limit >= 1 {
+		return float64(len(s.out)) < max(1, s.limit*share)
 	}
-	return len(s.out) == 0 && float64(r.now-s.countAt) >= s.group.latency*(1/limit-1)
+	return len(s.out) == 0 && float64(r.now-s.countAt) >= s.group.latency*(1/s.limit-1)
 }
 
 // silent tells whether a server keeps requests without answering any. Covers hangs, pauses and cut links
@@ -760,6 +759,9 @@
 			s.limit += min(1, s.limit/2)
 		} else {
 			s.limit += min(1/s.limit, limitGrowth*max(s.limit, 0.5))
+			if s.limit < 1 {
+				s.limit = min(1, 2*s.limit)
+			}
 		}
 	}
 }
