--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,7 +21,7 @@
 	pollCap        = 5    // longest wait between polls, in intervals (step 1)
 	pollCrowd      = 4    // routers that may poll a server within one interval; more stretch their timers
 	proofPolls     = 2    // polls hurried for a read that no told position suits
-	startLimit     = 6.0  // outstanding requests, of all routers, at a server that is not known yet
+	startLimit     = 16.0  // outstanding requests, of all routers, at a server that is not known yet
 	leastLimit     = 2.5  // outstanding requests, of all routers, below which a limit no longer shortens answers
 	limitCut       = 0.9  // the limit's factor after an answer near its target
 	limitGrowth    = 0.05 // most growth of a limit by one answer, as a share of it
@@ -251,7 +251,7 @@
 func (r *Router) ours(total float64) float64 { return total / float64(max(r.cfg.Routers, 1)) }
 
 // startLimit is at most 2: with few routers, an unknown server is not worth more.
-func (r *Router) startLimit() float64 { return max(1, min(2, r.ours(startLimit))) }
+func (r *Router) startLimit() float64 { return min(2, r.ours(startLimit)) }
 
 // gone drops a server. Where only draining binds, a list that merely lacks it proves nothing.
 func (r *Router) gone(s *server) {
@@ -760,7 +760,7 @@
 		} else {
 			s.limit += min(1/s.limit, limitGrowth*max(s.limit, 0.5))
 			if s.limit < 1 {
-				s.limit = min(1, 2*s.limit)
+				s.limit = min(1, 1.3*s.limit)
 			}
 		}
 	}
