--- a/balance/balance.go
+++ b/balance/balance.go
@@ -233,8 +233,9 @@
 	}
 	if s == nil {
 		g := r.groupOf(e.Group)
-		s = &server{id: e.Server, group: g, limit: r.startLimit(), nextPoll: r.now, polled: !r.cfg.Probing,
+		s = &server{id: e.Server, group: g, limit: r.startLimit(), polled: !r.cfg.Probing,
 			heard: !r.cfg.Probing}
+		s.nextPoll = r.now + time.Duration(r.rng.Float64()*float64(r.idle-r.interval))
 		r.servers[s.id] = s
 		g.members = append(g.members, s)
 		slices.SortFunc(g.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
@@ -319,8 +320,12 @@
 	} else if s.fails++; s.fails >= failureLimit {
 		s.polled = false
 	}
-	s.nextPoll = r.now + min(time.Duration(1+s.fails)*r.idle, pollCap*r.idle) +
-		time.Duration(pollJitter*r.rng.Float64()*float64(r.idle))
+	interval := r.idle
+	if s.fails > 0 {
+		interval = r.interval
+	}
+	s.nextPoll = r.now + min(time.Duration(1+s.fails)*interval, pollCap*r.idle) +
+		time.Duration(pollJitter*r.rng.Float64()*float64(interval))
 }
 
 // recover starts a server slowly that comes back from what looked like the death of its process. The
@@ -434,6 +439,11 @@
 		return
 	}
 	r.queue = append(r.queue, q)
+	for _, s := range q.group.members {
+		if !s.heard {
+			s.nextPoll = r.now // the first polls of many routers are spread, but for work that waits
+		}
+	}
 	r.place(q)
 }
 
