--- a/balance/balance.go
+++ b/balance/balance.go
@@ -308,7 +308,7 @@
 	if s == nil {
 		return
 	}
-	s.polling, s.heard = false, true
+	s.polling = false
 	if e.Outcome == OutcomeOK {
 		r.recover(s)
 		s.fails, s.polled, s.reset = 0, true, false
@@ -320,6 +320,7 @@
 	} else if s.fails++; s.fails >= failureLimit {
 		s.polled = false
 	}
+	s.heard = s.heard || s.polled || s.fails >= failureLimit
 	interval := r.idle
 	if s.fails > 0 {
 		interval = r.interval
@@ -581,7 +582,7 @@
 
 // mostAdvanced picks the replica that most likely has what a read needs, where servers check reads.
 func (r *Router) mostAdvanced(q *request) *server {
-	return r.best(q, r.hopeful, func(a, b *server) int { return cmp.Compare(b.position, a.position) })
+	return r.best(q, r.hopeful, inTurn)
 }
 
 // best picks the first by an order among the replicas that fit and have room.
