--- a/balance/balance.go
+++ b/balance/balance.go
@@ -149,10 +149,11 @@
 		askAt = math.MinInt64
 	}
 	interval := max(least, 10*cfg.Round)
-	return &Router{cfg: cfg, askAt: askAt, idle: interval * time.Duration(max(cfg.Routers, pollCrowd)) / pollCrowd,
+	idle := interval * time.Duration(max(cfg.Routers, pollCrowd)) / pollCrowd
+	return &Router{cfg: cfg, askAt: askAt, idle: idle,
 		rng: rand.New(rand.NewPCG(seed, seed)), servers: map[ServerID]*server{},
 		groups: map[int]*group{}, open: map[RequestID]*request{}, sessions: map[uint64]time.Duration{},
-		interval: interval, sweepGap: max(cfg.Round, least/25), budget: retryBurst}, nil
+		interval: interval, sweepGap: max(cfg.Round, least/25), budget: retryBurst * float64(interval) / float64(idle)}, nil
 }
 
 // Step takes a batch of events, all at one clock, and appends the actions to take, in order. A clock
