--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,7 +32,7 @@
 	patienceFactor = 4.5  // a server is silent after this many mean latencies without an answer
 	lonePatience   = 2    // patience is this much longer with a server's only request
 	latencyWeight  = 0.05 // weight of a new answer in the mean latency
-	retryShare     = 0.2  // retry budget earned by each first attempt
+	retryShare     = 0.05 // retry budget earned by each first attempt
 	retryBurst     = 20.0 // most retry budget kept
 	logLines       = 100  // log lines a router may write in its life
 	forget         = 60 * time.Second
