--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,8 +20,9 @@
 	pollJitter     = 0.4  // random part of a poll's wait, in intervals (step 1)
 	pollCap        = 5    // longest wait between polls, in intervals (step 1)
 	pollCrowd      = 4    // routers that may poll a server within one interval; more stretch their timers
+	loadSteps      = 4    // steps in which told utilization counts
 	proofPolls     = 2    // polls hurried for a read that no told position suits
-	startLimit     = 16.0  // outstanding requests, of all routers, at a server that is not known yet
+	startLimit     = 16.0 // outstanding requests, of all routers, at a server that is not known yet
 	leastLimit     = 2.5  // outstanding requests, of all routers, below which a limit no longer shortens answers
 	limitCut       = 0.9  // the limit's factor after an answer near its target
 	limitGrowth    = 0.05 // most growth of a limit by one answer, as a share of it
@@ -101,6 +102,8 @@
 	limit          float64
 	cutAt          time.Duration
 	answered       time.Duration
+	load           int // told utilization in steps, one more where requests wait
+	loadAt         time.Duration
 	mute           int // attempts given up in silence since its last answer
 	trialAt        time.Duration
 	count          float64 // recent sends, decayed
@@ -340,6 +343,12 @@
 }
 
 func (r *Router) report(s *server, rep *Report) {
+	if rep.Valid {
+		s.load, s.loadAt = min(int(rep.Utilization*loadSteps), loadSteps), r.now
+		if rep.Backlog > 0 {
+			s.load = loadSteps + 1
+		}
+	}
 	if !rep.Valid || !rep.HasPosition {
 		return
 	}
@@ -519,7 +528,7 @@
 		if q.class.Need == NeedWrite {
 			share = writeShare
 			if p == nil && !r.cfg.Probing { // nothing else finds it; a miss is harmless
-				p = r.best(q, func(*server, *request) bool { return true }, inTurn)
+				p = r.best(q, func(*server, *request) bool { return true }, r.inTurn)
 			}
 		}
 		if p == nil || q.strays(p) || q.group.named < q.after && r.cfg.Probing || !r.takes(p, q, share) {
@@ -555,7 +564,7 @@
 	for ; q.asked < proofPolls; q.asked++ {
 		s := r.best(q, func(s *server, q *request) bool {
 			return !s.polling && r.now-s.polledAt > r.interval/4 && !r.proven(s, q)
-		}, inTurn)
+		}, r.inTurn)
 		if s == nil {
 			break
 		}
@@ -574,16 +583,28 @@
 
 // leastLoaded picks among the active replicas whose told position suffices, ties in turn.
 func (r *Router) leastLoaded(q *request) *server {
-	return r.best(q, r.proven, inTurn)
+	return r.best(q, r.proven, r.inTurn)
 }
 
-func inTurn(a, b *server) int {
-	return cmp.Or(cmp.Compare(len(a.out), len(b.out)), cmp.Compare(a.turn, b.turn))
+// inTurn orders by outstanding requests, then by told load, then in turn. A router with few requests sees no
+// difference in what it has out; the document's own measure, the server's use of its cores, then tells. It
+// guards against servers that grow slow; it could hurt if many routers followed one old report, so it counts
+// in coarse steps and not for long.
+func (r *Router) inTurn(a, b *server) int {
+	return cmp.Or(cmp.Compare(len(a.out), len(b.out)), cmp.Compare(r.toldLoad(a), r.toldLoad(b)),
+		cmp.Compare(a.turn, b.turn))
+}
+
+func (r *Router) toldLoad(s *server) int {
+	if s.loadAt == 0 || r.now-s.loadAt > 4*r.interval {
+		return loadSteps / 2
+	}
+	return s.load
 }
 
 // mostAdvanced picks the replica that most likely has what a read needs, where servers check reads.
 func (r *Router) mostAdvanced(q *request) *server {
-	return r.best(q, r.hopeful, inTurn)
+	return r.best(q, r.hopeful, r.inTurn)
 }
 
 // best picks the first by an order among the replicas that fit and have room.
@@ -885,7 +906,7 @@
 			r.budget--
 			r.muted(s)
 		}
-	} else if r.cfg.Cancel {
+	} else if r.cfg.Cancel && r.budget >= 1 { // without budget for a further attempt the first may still be answered
 		q.pulled = true
 		r.acts = append(r.acts, Action{Kind: ActionWithdraw, Request: q.id, Attempt: q.sends - 1})
 		r.muted(s)
