--- a/balance/balance.go
+++ b/balance/balance.go
@@ -16,26 +16,27 @@
 
 // Tuned values. None comes from a deployment; times are derived from the start settings or observed.
 const (
-	failureLimit   = 2    // failed polls in a row until a server is down (step 1)
-	pollJitter     = 0.4  // random part of a poll's wait, in intervals (step 1)
-	pollCap        = 5    // longest wait between polls, in intervals (step 1)
-	pollCrowd      = 4    // routers that may poll a server within one interval; more stretch their timers
-	loadSteps      = 4    // steps in which told utilization counts
-	proofPolls     = 2    // polls hurried for a read that no told position suits
-	startLimit     = 16.0 // outstanding requests, of all routers, at a server that is not known yet
-	leastLimit     = 2.5  // outstanding requests, of all routers, below which a limit no longer shortens answers
-	limitCut       = 0.9  // the limit's factor after an answer near its target
-	limitGrowth    = 0.05 // most growth of a limit by one answer, as a share of it
-	fullCut        = 0.6  // the limit's factor after a refusal for want of room, or no answer in time
-	nearTarget     = 0.5  // share of the target at which an answer counts as near it
-	fallbackShare  = 0.6  // part of the primary's limit open to reads that replicas could serve
-	writeShare     = 2.0  // part of the primary's limit open to writes
-	patienceFactor = 4.5  // a server is silent after this many mean latencies without an answer
-	lonePatience   = 2    // patience is this much longer with a server's only request
-	latencyWeight  = 0.05 // weight of a new answer in the mean latency
-	retryShare     = 0.05 // retry budget earned by each first attempt
-	retryBurst     = 20.0 // most retry budget kept
-	logLines       = 100  // log lines a router may write in its life
+	failureLimit   = 2                // failed polls in a row until a server is down (step 1)
+	pollJitter     = 0.4              // random part of a poll's wait, in intervals (step 1)
+	pollCap        = 5                // longest wait between polls, in intervals (step 1)
+	pollCrowd      = 4                // routers that may poll a server within one interval; more stretch their timers
+	loadSteps      = 4                // steps in which told utilization counts
+	proofPolls     = 2                // polls hurried for a read that no told position suits
+	startLimit     = 16.0             // outstanding requests, of all routers, at a server that is not known yet
+	leastLimit     = 2.5              // outstanding requests, of all routers, below which a limit no longer shortens answers
+	limitCut       = 0.9              // the limit's factor after an answer near its target
+	limitGrowth    = 0.05             // most growth of a limit by one answer, as a share of it
+	fullCut        = 0.6              // the limit's factor after a refusal for want of room, or no answer in time
+	nearTarget     = 0.5              // share of the target at which an answer counts as near it
+	fallbackShare  = 0.6              // part of the primary's limit open to reads that replicas could serve
+	writeShare     = 2.0              // part of the primary's limit open to writes
+	patienceFactor = 4.5              // a server is silent after this many mean latencies without an answer
+	lonePatience   = 2                // patience is this much longer with a server's only request
+	latencyWeight  = 0.05             // weight of a new answer in the mean latency
+	retryShare     = 0.05             // retry budget earned by each first attempt
+	retryBurst     = 20.0             // most retry budget kept
+	regain         = 10 * time.Second // a limit of zero is one again after this time without a further cut
+	logLines       = 100              // log lines a router may write in its life
 	forget         = 60 * time.Second
 )
 
@@ -591,10 +592,20 @@
 // guards against servers that grow slow; it could hurt if many routers followed one old report, so it counts
 // in coarse steps and not for long.
 func (r *Router) inTurn(a, b *server) int {
-	return cmp.Or(cmp.Compare(len(a.out), len(b.out)), cmp.Compare(r.toldLoad(a), r.toldLoad(b)),
+	return cmp.Or(cmp.Compare(len(a.out), len(b.out)), cmp.Compare(r.trust(b), r.trust(a)),
+		cmp.Compare(r.toldLoad(a), r.toldLoad(b)),
 		cmp.Compare(a.turn, b.turn))
 }
 
+// trust is how far a limit below one has come back, by answers and by time: without time, a server passed
+// over for its limit would get no answers to raise it.
+func (r *Router) trust(s *server) float64 {
+	if s.cutAt == 0 {
+		return 1
+	}
+	return min(1, s.limit+float64(r.now-s.cutAt)/float64(regain))
+}
+
 func (r *Router) toldLoad(s *server) int {
 	if s.loadAt == 0 || r.now-s.loadAt > 4*r.interval {
 		return loadSteps / 2
@@ -660,10 +671,10 @@
 // room tells whether a server may hold one more. Many routers before few servers overload them with one
 // request each; a limit below 1 therefore lets one go only every so often.
 func (r *Router) room(s *server, share float64) bool {
-	if s.limit >= 1 {
-		return float64(len(s.out)) < max(1, s.limit*share)
+	if s.limit < 1 {
+		return len(s.out) == 0 && float64(r.now-s.countAt) >= s.group.latency*(1/s.limit-1)
 	}
-	return len(s.out) == 0 && float64(r.now-s.countAt) >= s.group.latency*(1/s.limit-1)
+	return float64(len(s.out)) < max(1, s.limit*share)
 }
 
 // silent tells whether a server keeps requests without answering any. Covers hangs, pauses and cut links
