--- a/balance/balance.go
+++ b/balance/balance.go
@@ -129,6 +129,7 @@
 	last                           *server
 	sent                           time.Duration // when its last attempt went
 	pulled, missed, streamed, done bool
+	full                           bool // its last attempt was refused for want of room
 }
 
 // New returns a router that knows nothing yet. An unusable Config is an error.
@@ -477,10 +478,16 @@
 	if !r.maySend(q) {
 		return false
 	}
+	if q.full && r.budget < 1 {
+		return false // a full server's peers are likely full: hold it
+	}
 	s := r.pick(q)
 	if s == nil {
 		return false
 	}
+	if q.full {
+		r.budget, q.full = r.budget-1, false
+	}
 	if q.sends == 0 {
 		r.budget = min(r.budget+retryShare, retryBurst)
 	}
@@ -746,6 +753,7 @@
 	switch e.Outcome {
 	case OutcomeFull, OutcomeConnectFailed, OutcomeMoot, OutcomeMiss:
 		q.missed = q.missed || e.Outcome == OutcomeMiss
+		q.full = e.Outcome == OutcomeFull
 		if q.class.Need == NeedWrite {
 			q.after = r.now
 			r.hurry(q.group, 0)
@@ -824,9 +832,6 @@
 		r.finish(q)
 		return
 	}
-	if o == OutcomeFull && !r.spend() {
-		return // a full server's peers are likely full: hold it
-	}
 	r.place(q)
 }
 
