--- a/balance/balance.go
+++ b/balance/balance.go
@@ -74,7 +74,6 @@
 	claim   time.Duration
 	named   time.Duration // when the newest poll that named the primary was sent
 	latency float64       // mean of answers, ns
-	warm    float64       // mean recent sends to a warm member
 }
 
 type flight struct {
@@ -107,8 +106,8 @@
 	loadAt         time.Duration
 	mute           int // attempts given up in silence since its last answer
 	trialAt        time.Duration
-	count          float64 // recent sends, decayed
-	countAt        time.Duration
+	sentAt         time.Duration // when its last attempt went
+	credit         float64       // sends it may have while cold
 	turn           uint64
 }
 
@@ -129,6 +128,7 @@
 	last                           *server
 	sent                           time.Duration // when its last attempt went
 	pulled, missed, streamed, done bool
+	counted                        bool // in the credit of a cold primary
 	full                           bool // its last attempt was refused for want of room
 }
 
@@ -239,14 +239,17 @@
 	}
 	if s == nil {
 		g := r.groupOf(e.Group)
-		s = &server{id: e.Server, group: g, limit: r.startLimit(), polled: !r.cfg.Probing,
+		s = &server{id: e.Server, group: g, credit: r.rng.Float64(), limit: r.startLimit(), polled: !r.cfg.Probing,
 			heard: !r.cfg.Probing}
 		s.nextPoll = r.now + time.Duration(r.rng.Float64()*float64(r.idle-r.interval))
 		r.servers[s.id] = s
 		g.members = append(g.members, s)
 		slices.SortFunc(g.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
-	} else if e.Started > s.started && s.group.primary == s {
-		s.group.primary = nil // a process that started again begins as a replica
+	} else if e.Started > s.started {
+		s.credit, s.nextPoll = r.rng.Float64(), r.now
+		if s.group.primary == s {
+			s.group.primary = nil // a process that started again begins as a replica
+		}
 	}
 	s.zone, s.started = e.Zone, max(s.started, e.Started)
 	if e.Life != s.life {
@@ -341,6 +344,7 @@
 func (r *Router) recover(s *server) {
 	if s.fails >= failureLimit || s.reset && s.fails > 0 {
 		s.started, s.limit, s.cutAt = max(s.started, r.now), r.startLimit(), 0
+		s.credit = r.rng.Float64()
 	}
 }
 
@@ -499,7 +503,8 @@
 	q.sends, q.out, q.last, q.sent, q.pulled = q.sends+1, q.out+1, s, r.now, false
 	r.turn++
 	s.turn = r.turn
-	s.count, s.countAt = r.recent(s)+1, r.now
+	s.sentAt = r.now
+	r.credit(s, q)
 	return true
 }
 
@@ -679,7 +684,7 @@
 // request each; a limit below 1 therefore lets one go only every so often.
 func (r *Router) room(s *server, share float64) bool {
 	if s.limit < 1 {
-		return len(s.out) == 0 && float64(r.now-s.countAt) >= s.group.latency*(1/s.limit-1)
+		return len(s.out) == 0 && float64(r.now-s.sentAt) >= s.group.latency*(1/s.limit-1)
 	}
 	return float64(len(s.out)) < max(1, s.limit*share)
 }
@@ -704,17 +709,44 @@
 	return patience
 }
 
-// warmEnough bounds the sends to a cold server to a share of this router's own sends to its warm peers.
-// All routers' shares add up to the same share of a warm server's load, however unequal the routers.
+// warmEnough tells whether a server is warm or has credit for a send. Guards against all routers together
+// pushing a cold server over, however many and unequal they are: see credit.
 func (r *Router) warmEnough(s *server, q *request) bool {
 	share := r.warmth(s)
 	if share >= 1 {
 		return true
 	}
-	if s == s.group.primary && q.class.Need <= NeedFresh {
-		share *= max(1, r.cfg.TipMultiple/2)
+	if s == s.group.primary && q.class.Need <= NeedFresh && !q.counted && r.now-q.arrived < r.cfg.Fall {
+		// Nothing else takes these. What waited longer does not count: a backlog would come at once.
+		q.counted = true
+		s.credit += share * max(1, r.cfg.TipMultiple/2)
+	}
+	return s.credit >= 1
+}
+
+// credit books a send. Each read sent to a warm replica gives its cold peers their least warmth's part of one
+// warm peer's share. Credit starts at random below one, so the sends of routers that each have less than one
+// add up, in the mean, to that same part of a warm server's load: nobody starves and no sum grows with the
+// number of routers. It could hurt where warm peers are sent more than they can do.
+func (r *Router) credit(s *server, q *request) {
+	if r.warmth(s) < 1 {
+		s.credit--
+		return
+	}
+	if q.class.Need <= NeedFresh {
+		return
+	}
+	warm := 0
+	for _, m := range s.group.members {
+		if m.polled && m != s.group.primary && r.warmth(m) >= 1 {
+			warm++
+		}
+	}
+	for _, m := range s.group.members {
+		if w := r.warmth(m); w < 1 && m != s.group.primary {
+			m.credit = min(m.credit+w/float64(max(warm, 1)), 2)
+		}
 	}
-	return r.recent(s)+1 <= share*s.group.warm
 }
 
 // warmth is the least share of its capacity that a server has by now.
@@ -726,10 +758,6 @@
 	return r.cfg.ColdFrom + (1-r.cfg.ColdFrom)*float64(max(age, 0))/float64(r.cfg.RampTime)
 }
 
-func (r *Router) recent(s *server) float64 {
-	return s.count * math.Exp(-float64(r.now-s.countAt)/float64(2*max(r.cfg.Fall, time.Second)))
-}
-
 // ---- outcomes
 
 func (r *Router) outcome(e *Event) {
@@ -870,7 +898,7 @@
 // sweep looks after requests that wait: for a server, for an answer, or for the end.
 func (r *Router) sweep() {
 	r.swept, r.kick = r.now, false
-	r.refresh()
+	r.prune()
 	r.held = r.held[:0]
 	r.queue = slices.DeleteFunc(r.queue, func(q *request) bool { return q.done })
 	for _, q := range r.queue {
@@ -943,20 +971,8 @@
 	s.trialAt = r.now + r.interval<<s.mute
 }
 
-// refresh updates the mean sends to warm members and forgets old sessions.
-func (r *Router) refresh() {
-	for _, g := range r.order {
-		sum, n := 0.0, 0
-		for _, s := range g.members {
-			if s != g.primary && s.polled && r.warmth(s) >= 1 {
-				sum += r.recent(s)
-				n++
-			}
-		}
-		if n > 0 {
-			g.warm = sum / float64(n)
-		}
-	}
+// prune forgets old sessions.
+func (r *Router) prune() {
 	if r.now-r.pruned > forget {
 		r.pruned = r.now
 		for key, commit := range r.sessions {
