--- a/balance/balance.go
+++ b/balance/balance.go
@@ -16,27 +16,29 @@
 
 // Tuned values. None comes from a deployment; times are derived from the start settings or observed.
 const (
-	failureLimit   = 2                // failed polls in a row until a server is down (step 1)
-	pollJitter     = 0.4              // random part of a poll's wait, in intervals (step 1)
-	pollCap        = 5                // longest wait between polls, in intervals (step 1)
-	pollCrowd      = 4                // routers that may poll a server within one interval; more stretch their timers
-	loadSteps      = 4                // steps in which told utilization counts
-	proofPolls     = 2                // polls hurried for a read that no told position suits
-	startLimit     = 16.0             // outstanding requests, of all routers, at a server that is not known yet
-	leastLimit     = 2.5              // outstanding requests, of all routers, below which a limit no longer shortens answers
-	limitCut       = 0.9              // the limit's factor after an answer near its target
-	limitGrowth    = 0.05             // most growth of a limit by one answer, as a share of it
-	fullCut        = 0.6              // the limit's factor after a refusal for want of room, or no answer in time
-	nearTarget     = 0.5              // share of the target at which an answer counts as near it
-	fallbackShare  = 0.6              // part of the primary's limit open to reads that replicas could serve
-	writeShare     = 2.0              // part of the primary's limit open to writes
-	patienceFactor = 4.5              // a server is silent after this many mean latencies without an answer
-	lonePatience   = 2                // patience is this much longer with a server's only request
-	latencyWeight  = 0.05             // weight of a new answer in the mean latency
-	retryShare     = 0.05             // retry budget earned by each first attempt
-	retryBurst     = 20.0             // most retry budget kept
-	regain         = 10 * time.Second // a limit of zero is one again after this time without a further cut
-	logLines       = 100              // log lines a router may write in its life
+	failureLimit   = 2    // failed polls in a row until a server is down (step 1)
+	pollJitter     = 0.4  // random part of a poll's wait, in intervals (step 1)
+	pollCap        = 5    // longest wait between polls, in intervals (step 1)
+	pollCrowd      = 4    // routers that may poll a server within one interval; more stretch their timers
+	loadSteps      = 4    // steps in which told utilization counts
+	proofPolls     = 2    // polls hurried for a read that no told position suits
+	startLimit     = 16.0 // outstanding requests, of all routers, at a server that is not known yet
+	paceCut        = 0.8  // the pace's factor after a refusal for want of room, or no answer in time
+	paceGrowth     = 0.05 // growth of the pace by an answer in time, as a share of it
+	leastPace      = 0.02
+	limitCut       = 0.9             // the limit's factor after an answer near its target
+	limitGrowth    = 0.05            // most growth of a limit by one answer, as a share of it
+	fullCut        = 0.6             // the limit's factor after a refusal for want of room, or no answer in time
+	nearTarget     = 0.5             // share of the target at which an answer counts as near it
+	fallbackShare  = 0.6             // part of the primary's limit open to reads that replicas could serve
+	writeShare     = 2.0             // part of the primary's limit open to writes
+	patienceFactor = 4.5             // a server is silent after this many mean latencies without an answer
+	lonePatience   = 2               // patience is this much longer with a server's only request
+	latencyWeight  = 0.05            // weight of a new answer in the mean latency
+	retryShare     = 0.05            // retry budget earned by each first attempt
+	retryBurst     = 20.0            // most retry budget kept
+	regain         = 5 * time.Second // a server that failed an attempt is passed over for others
+	logLines       = 100             // log lines a router may write in its life
 	forget         = 60 * time.Second
 )
 
@@ -74,6 +76,15 @@
 	claim   time.Duration
 	named   time.Duration // when the newest poll that named the primary was sent
 	latency float64       // mean of answers, ns
+	pools   [2]pool       // of the primary's own work, and of reads
+}
+
+// pool is what a group's requests of one kind share when no server's limit can fall further: the part of
+// them that is sent.
+type pool struct {
+	pace  float64
+	allow float64 // first attempts that may go now
+	cutAt time.Duration
 }
 
 type flight struct {
@@ -101,6 +112,7 @@
 	out            []flight
 	limit          float64
 	cutAt          time.Duration
+	failed         bool // it was cut last for a refusal or for no answer
 	answered       time.Duration
 	load           int // told utilization in steps, one more where requests wait
 	loadAt         time.Duration
@@ -261,7 +273,7 @@
 func (r *Router) ours(total float64) float64 { return total / float64(max(r.cfg.Routers, 1)) }
 
 // startLimit is at most 2: with few routers, an unknown server is not worth more.
-func (r *Router) startLimit() float64 { return min(2, r.ours(startLimit)) }
+func (r *Router) startLimit() float64 { return max(1, min(2, r.ours(startLimit))) }
 
 // gone drops a server. Where only draining binds, a list that merely lacks it proves nothing.
 func (r *Router) gone(s *server) {
@@ -279,7 +291,7 @@
 func (r *Router) groupOf(n int) *group {
 	g := r.groups[n]
 	if g == nil {
-		g = &group{latency: float64(r.interval) / 4}
+		g = &group{latency: float64(r.interval) / 4, pools: [2]pool{{pace: 1}, {pace: 1}}}
 		r.groups[n] = g
 		r.order = append(r.order, g)
 	}
@@ -456,6 +468,8 @@
 		return
 	}
 	r.queue = append(r.queue, q)
+	g := q.pool()
+	g.allow = min(g.allow+g.pace, 2)
 	for _, s := range q.group.members {
 		if !s.heard {
 			s.nextPoll = r.now // the first polls of many routers are spread, but for work that waits
@@ -482,6 +496,9 @@
 	if !r.maySend(q) {
 		return false
 	}
+	if g := q.pool(); q.sends == 0 && g.pace < 1 && g.allow < 1 {
+		return false
+	}
 	if q.full && r.budget < 1 {
 		return false // a full server's peers are likely full: hold it
 	}
@@ -493,6 +510,7 @@
 		r.budget, q.full = r.budget-1, false
 	}
 	if q.sends == 0 {
+		q.pool().allow--
 		r.budget = min(r.budget+retryShare, retryBurst)
 	}
 	if q.out == 0 && !q.ran {
@@ -604,18 +622,17 @@
 // guards against servers that grow slow; it could hurt if many routers followed one old report, so it counts
 // in coarse steps and not for long.
 func (r *Router) inTurn(a, b *server) int {
-	return cmp.Or(cmp.Compare(len(a.out), len(b.out)), cmp.Compare(r.trust(b), r.trust(a)),
+	return cmp.Or(cmp.Compare(len(a.out), len(b.out)), cmp.Compare(r.doubt(a), r.doubt(b)),
 		cmp.Compare(r.toldLoad(a), r.toldLoad(b)),
 		cmp.Compare(a.turn, b.turn))
 }
 
-// trust is how far a limit below one has come back, by answers and by time: without time, a server passed
-// over for its limit would get no answers to raise it.
-func (r *Router) trust(s *server) float64 {
-	if s.cutAt == 0 {
+// doubt tells whether a server refused or left a request unanswered not long ago.
+func (r *Router) doubt(s *server) int {
+	if s.failed && r.now-s.cutAt < regain {
 		return 1
 	}
-	return min(1, s.limit+float64(r.now-s.cutAt)/float64(regain))
+	return 0
 }
 
 func (r *Router) toldLoad(s *server) int {
@@ -683,9 +700,6 @@
 // room tells whether a server may hold one more. Many routers before few servers overload them with one
 // request each; a limit below 1 therefore lets one go only every so often.
 func (r *Router) room(s *server, share float64) bool {
-	if s.limit < 1 {
-		return len(s.out) == 0 && float64(r.now-s.sentAt) >= s.group.latency*(1/s.limit-1)
-	}
 	return float64(len(s.out)) < max(1, s.limit*share)
 }
 
@@ -812,11 +826,11 @@
 		if e.Outcome == OutcomeOK {
 			r.learn(s, q, e.Age)
 		} else if e.Outcome == OutcomeFull {
-			r.cut(s, fullCut)
+			r.fell(s, q)
 		}
 	case OutcomeTimeout, OutcomeCancelled:
 		if q != nil && float64(e.Age) > nearTarget*float64(q.class.Target) {
-			r.cut(s, fullCut) // one that was given little time tells nothing
+			r.fell(s, q) // one that was given little time tells nothing
 		}
 	case OutcomeReset:
 		s.reset, s.polled, s.nextPoll = true, !r.cfg.Probing, r.now
@@ -833,25 +847,43 @@
 		return
 	}
 	if float64(age) > nearTarget*float64(q.class.Target) {
-		r.cut(s, limitCut)
-	} else if float64(len(s.out)+1) >= s.limit/2 {
+		r.cut(s, q, limitCut, 1)
+		return
+	}
+	g := q.pool()
+	g.pace = min(1, g.pace*(1+paceGrowth))
+	if float64(len(s.out)+1) >= s.limit/2 {
 		if s.cutAt == 0 {
 			s.limit += min(1, s.limit/2)
 		} else {
-			s.limit += min(1/s.limit, limitGrowth*max(s.limit, 0.5))
-			if s.limit < 1 {
-				s.limit = min(1, 1.3*s.limit)
-			}
+			s.limit += min(1/s.limit, limitGrowth*s.limit)
 		}
 	}
 }
 
-// cut lowers a server's limit, once for each time that news of the cut takes. It keeps this router's part of
-// a few requests: where all answers are slow for want of nothing but speed, cutting on would idle the server.
-func (r *Router) cut(s *server, factor float64) {
+// cut lowers a server's limit, once for each time that news of the cut takes. A limit is never below one:
+// there the pool's pace falls instead, so that many routers with few requests each send a part of them.
+func (r *Router) cut(s *server, q *request, limit, pace float64) {
 	if float64(r.now-s.cutAt) > s.group.latency {
-		s.limit, s.cutAt = max(r.ours(leastLimit), min(s.limit, float64(len(s.out)+1))*factor), r.now
+		s.limit, s.cutAt, s.failed = max(1, min(s.limit, float64(len(s.out)+1))*limit), r.now, pace < 1
+	}
+	if g := q.pool(); s.limit == 1 && float64(r.now-g.cutAt) > s.group.latency {
+		g.pace, g.cutAt = max(leastPace, g.pace*pace), r.now
+	}
+}
+
+func (r *Router) fell(s *server, q *request) {
+	if q != nil {
+		r.cut(s, q, fullCut, paceCut)
+	}
+}
+
+// pool is the pool that a request belongs to.
+func (q *request) pool() *pool {
+	if q.class.Need <= NeedFresh {
+		return &q.group.pools[0]
 	}
+	return &q.group.pools[1]
 }
 
 // again decides on a request none of whose attempts is out.
