--- a/balance/balance.go
+++ b/balance/balance.go
@@ -830,7 +830,7 @@
 		}
 	case OutcomeTimeout, OutcomeCancelled:
 		if q != nil && float64(e.Age) > nearTarget*float64(q.class.Target) {
-			r.fell(s, q) // one that was given little time tells nothing
+			r.missing(s, q) // one that was given little time tells nothing
 		}
 	case OutcomeReset:
 		s.reset, s.polled, s.nextPoll = true, !r.cfg.Probing, r.now
@@ -878,6 +878,17 @@
 	}
 }
 
+// missing books an answer that did not come. Where the answers that do come are quick, it was lost, or its
+// server hangs, but no queue ate it: then it tells nothing about pace.
+func (r *Router) missing(s *server, q *request) {
+	pace := 1.0
+	if s.group.latency > nearTarget/1.5*float64(q.class.Target) {
+		pace = paceCut
+	}
+	r.cut(s, q, fullCut, pace)
+	s.failed = true
+}
+
 // pool is the pool that a request belongs to.
 func (q *request) pool() *pool {
 	if q.class.Need <= NeedFresh {
