--- a/balance/api.go
+++ b/balance/api.go
@@ -206,14 +206,15 @@
 
 // The kinds of action.
 const (
-	ActionTry       ActionKind = iota // send Request to Server; attempts count from 0 in this order
-	ActionWithdraw                    // stop waiting for Attempt of Request
-	ActionReject                      // final: a further try is harmless; After advises when
-	ActionFail                        // final: no promise
-	ActionPoll                        // ask Server for a report
-	ActionTimer                       // an EventTimer with Token After from now
-	ActionSubscribe                   // ask for the list and its changes
-	ActionLog                         // Text for the operators
+	ActionTry        ActionKind = iota // send Request to Server; attempts count from 0 in this order
+	ActionWithdraw                     // stop waiting for Attempt of Request
+	ActionReject                       // final: a further try is harmless; After advises when
+	ActionFail                         // final: no promise
+	ActionPoll                         // ask Server for a report
+	ActionTimer                        // an EventTimer with Token After from now
+	ActionSubscribe                    // ask for the list and its changes
+	ActionDisconnect                   // close the idle connections to Server
+	ActionLog                          // Text for the operators
 )
 
 // Action is one thing to do, in order.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -63,7 +63,10 @@
 	idle     time.Duration // between polls where answers or nothing need them
 	sweepGap time.Duration
 	swept    time.Duration
-	kick     bool // something changed that may let held requests go
+	reap     time.Duration // connections idle for longer are taken for dropped
+	reapedAt time.Duration // when that was learned
+	scarce   time.Duration // until when servers are taken to accept few connections
+	kick     bool          // something changed that may let held requests go
 	askAt    time.Duration
 	armed    time.Duration
 	token    uint64
@@ -91,6 +94,7 @@
 	id      RequestID
 	attempt int
 	sent    time.Duration
+	idle    time.Duration // how long its connection had been unused; 0 for a new one
 }
 
 type server struct {
@@ -118,6 +122,8 @@
 	loadAt         time.Duration
 	mute           int // attempts given up in silence since its last answer
 	trialAt        time.Duration
+	usedAt         time.Duration // when its connections were last in use
+	unreached      bool          // no connection could be had, no poll since
 	sentAt         time.Duration // when its last attempt went
 	credit         float64       // sends it may have while cold
 	turn           uint64
@@ -332,7 +338,10 @@
 	s.polling = false
 	if e.Outcome == OutcomeOK {
 		r.recover(s)
-		s.fails, s.polled, s.reset = 0, true, false
+		if s.unreached && s.fails == 0 {
+			r.scarce = r.now + regain
+		}
+		s.fails, s.polled, s.reset, s.unreached = 0, true, false, false
 		r.report(s, &e.Report)
 		if s.group.primary == s && e.Report.Primary {
 			s.group.named = max(s.group.named, r.now-e.Age)
@@ -516,7 +525,7 @@
 	if q.out == 0 && !q.ran {
 		q.since, q.zone = r.now, s.zone
 	}
-	s.out = append(s.out, flight{q.id, q.sends, r.now})
+	s.out = append(s.out, flight{q.id, q.sends, r.now, r.freshen(s)})
 	r.acts = append(r.acts, Action{Kind: ActionTry, Request: q.id, Server: s.id})
 	q.sends, q.out, q.last, q.sent, q.pulled = q.sends+1, q.out+1, s, r.now, false
 	r.turn++
@@ -526,6 +535,39 @@
 	return true
 }
 
+// freshen tells how long the connection for a send to s has been idle, and closes connections idle for so
+// long that requests on them were lost before.
+func (r *Router) freshen(s *server) time.Duration {
+	idle := r.now - s.usedAt
+	if s.usedAt == 0 || len(s.out) > 0 {
+		return 0
+	}
+	if r.reap > 0 && r.now-r.reapedAt > regain {
+		r.reap = 0 // it may have passed
+	}
+	if r.reap > 0 && idle >= r.reap {
+		r.acts = append(r.acts, Action{Kind: ActionDisconnect, Server: s.id})
+		return 0
+	}
+	return idle
+}
+
+// lost tells whether q's silent attempt was the first on a long idle connection: that tells of the
+// connection, not of the server. It guards against connections dropped unseen, by servers or on the way; a
+// hung server costs one more attempt, on a new connection, before it is left.
+func (r *Router) lost(s *server, q *request) bool {
+	i := slices.IndexFunc(s.out, func(f flight) bool { return f.id == q.id && f.attempt == q.sends-1 })
+	if i < 0 || s.out[i].idle < r.interval {
+		return false
+	}
+	if r.reap == 0 || s.out[i].idle < r.reap {
+		r.reap = s.out[i].idle
+	}
+	r.reapedAt = r.now
+	s.out = slices.Delete(s.out, i, i+1)
+	return true
+}
+
 // maySend is the ledger's one say on whether a further attempt is legal for the class.
 func (r *Router) maySend(q *request) bool {
 	switch {
@@ -622,6 +664,9 @@
 // guards against servers that grow slow; it could hurt if many routers followed one old report, so it counts
 // in coarse steps and not for long.
 func (r *Router) inTurn(a, b *server) int {
+	if r.now < r.scarce {
+		return cmp.Or(cmp.Compare(len(a.out), len(b.out)), cmp.Compare(b.usedAt, a.usedAt))
+	}
 	return cmp.Or(cmp.Compare(len(a.out), len(b.out)), cmp.Compare(r.doubt(a), r.doubt(b)),
 		cmp.Compare(r.toldLoad(a), r.toldLoad(b)),
 		cmp.Compare(a.turn, b.turn))
@@ -818,6 +863,7 @@
 
 // landed books an attempt's end at its server.
 func (r *Router) landed(s *server, q *request, e *Event) {
+	s.usedAt = r.now
 	s.out = slices.DeleteFunc(s.out, func(f flight) bool { return f.id == e.Request && f.attempt == e.Attempt })
 	switch e.Outcome {
 	case OutcomeOK, OutcomeError, OutcomeFull, OutcomeMiss:
@@ -835,6 +881,7 @@
 	case OutcomeReset:
 		s.reset, s.polled, s.nextPoll = true, !r.cfg.Probing, r.now
 	case OutcomeConnectFailed:
+		s.unreached = true
 		s.polled, s.nextPoll = !r.cfg.Probing, r.now
 	}
 }
@@ -982,21 +1029,29 @@
 	return min(end-need, q.deadline-2*r.cfg.Round)
 }
 
-// rescue tries a request elsewhere whose server has gone silent.
+// rescue tries a request elsewhere whose server has gone silent; a write only where its connection was lost.
 func (r *Router) rescue(q *request) {
 	s := q.last
-	if s == nil || q.pulled || q.class.Effect != Safe || q.sends >= r.cfg.TryLimit || !r.silentOn(s, q) {
+	if s == nil || q.pulled || !r.maySend(q) && r.cfg.ParallelTries || !r.silentOn(s, q) {
+		return
+	}
+	lost := r.lost(s, q)
+	if q.class.Effect != Safe && !lost {
 		return
 	}
 	if r.cfg.ParallelTries {
 		if q.out < 2 && r.budget >= 1 && r.place(q) {
 			r.budget--
-			r.muted(s)
+			if !lost {
+				r.muted(s)
+			}
 		}
-	} else if r.cfg.Cancel && r.budget >= 1 { // without budget for a further attempt the first may still be answered
+	} else if r.cfg.Cancel && q.class.Effect == Safe && r.budget >= 1 { // else the first may still be answered
 		q.pulled = true
 		r.acts = append(r.acts, Action{Kind: ActionWithdraw, Request: q.id, Attempt: q.sends - 1})
-		r.muted(s)
+		if !lost {
+			r.muted(s)
+		}
 	}
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -39,6 +39,7 @@
 	codeProbe  = 1050
 	codeLog    = 1080
 	codeFault  = 1090
+	codeClose  = 1060
 	codeWatch  = 1100
 	codeAs     = 1120
 )
@@ -466,6 +467,9 @@
 	case balance.ActionPoll:
 		e.head(codeProbe, 6)
 		e.server(a.Server)
+	case balance.ActionDisconnect:
+		e.head(codeClose, 6)
+		e.server(a.Server)
 	case balance.ActionTimer:
 		e.head(codeArm, 16)
 		e.u64(a.Token)
