--- a/balance/balance.go
+++ b/balance/balance.go
@@ -79,7 +79,7 @@
 	claim   time.Duration
 	named   time.Duration // when the newest poll that named the primary was sent
 	latency float64       // mean of answers, ns
-	pools   [2]pool       // of the primary's own work, and of reads
+	pools   [3]pool       // of the primary's own work, of reads, and of reads at the primary
 }
 
 // pool is what a group's requests of one kind share when no server's limit can fall further: the part of
@@ -146,6 +146,7 @@
 	last                           *server
 	sent                           time.Duration // when its last attempt went
 	pulled, missed, streamed, done bool
+	fallback                       bool // counted among the reads at the primary
 	counted                        bool // in the credit of a cold primary
 	full                           bool // its last attempt was refused for want of room
 }
@@ -297,7 +298,7 @@
 func (r *Router) groupOf(n int) *group {
 	g := r.groups[n]
 	if g == nil {
-		g = &group{latency: float64(r.interval) / 4, pools: [2]pool{{pace: 1}, {pace: 1}}}
+		g = &group{latency: float64(r.interval) / 4, pools: [3]pool{{pace: 1}, {pace: 1}, {allow: r.rng.Float64()}}}
 		r.groups[n] = g
 		r.order = append(r.order, g)
 	}
@@ -530,6 +531,9 @@
 	q.sends, q.out, q.last, q.sent, q.pulled = q.sends+1, q.out+1, s, r.now, false
 	r.turn++
 	s.turn = r.turn
+	if q.class.Need > NeedFresh && s == q.group.primary {
+		q.group.pools[2].allow--
+	}
 	s.sentAt = r.now
 	r.credit(s, q)
 	return true
@@ -620,10 +624,22 @@
 	if r.proving(q) {
 		return nil
 	}
-	if p != nil && p != q.last && !q.group.unheard() && r.takes(p, q, fallbackShare) {
-		return p
+	if p == nil || p == q.last || q.group.unheard() || !r.takes(p, q, fallbackShare) {
+		return nil
+	}
+	g := q.group
+	if !q.fallback {
+		q.fallback = true
+		f := &g.pools[2]
+		if f.pace == 0 {
+			f.pace = 1 / float64(len(g.members))
+		}
+		f.allow = min(f.allow+f.pace, 1)
+	}
+	if g.pools[2].allow < 1 {
+		return nil
 	}
-	return nil
+	return p
 }
 
 // proving hurries polls of replicas for a read that no told position suits, and tells whether one is still
@@ -934,6 +950,9 @@
 	if q.class.Need <= NeedFresh {
 		return &q.group.pools[0]
 	}
+	if q.last != nil && q.last == q.group.primary {
+		return &q.group.pools[2]
+	}
 	return &q.group.pools[1]
 }
 
