--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,7 +24,7 @@
 	proofPolls     = 2    // polls hurried for a read that no told position suits
 	startLimit     = 16.0 // outstanding requests, of all routers, at a server that is not known yet
 	paceCut        = 0.8  // the pace's factor after a refusal for want of room, or no answer in time
-	paceGrowth     = 0.05 // growth of the pace by an answer in time, as a share of it
+	paceGrowth     = 0.1  // growth of the pace by an answer in time, as a share of it
 	leastPace      = 0.02
 	limitCut       = 0.9             // the limit's factor after an answer near its target
 	limitGrowth    = 0.05            // most growth of a limit by one answer, as a share of it
@@ -632,11 +632,11 @@
 		q.fallback = true
 		f := &g.pools[2]
 		if f.pace == 0 {
-			f.pace = 1 / float64(len(g.members))
+			f.pace = min(1, max(1/float64(len(g.members)), 2*r.ours(pollCrowd)))
 		}
 		f.allow = min(f.allow+f.pace, 1)
 	}
-	if g.pools[2].allow < 1 {
+	if f := g.pools[2]; f.pace < 1 && f.allow < 1 {
 		return nil
 	}
 	return p
