--- a/balance/balance.go
+++ b/balance/balance.go
@@ -652,7 +652,7 @@
 	}
 	for ; q.asked < proofPolls; q.asked++ {
 		s := r.best(q, func(s *server, q *request) bool {
-			return !s.polling && r.now-s.polledAt > r.interval/4 && !r.proven(s, q)
+			return !s.polling && r.now-max(s.polledAt, s.heardAt) > r.interval && !r.proven(s, q)
 		}, r.inTurn)
 		if s == nil {
 			break
