--- a/balance/balance.go
+++ b/balance/balance.go
@@ -16,16 +16,16 @@
 
 // Tuned values. None comes from a deployment; times are derived from the start settings or observed.
 const (
-	failureLimit   = 2    // failed polls in a row until a server is down (step 1)
-	pollJitter     = 0.4  // random part of a poll's wait, in intervals (step 1)
-	pollCap        = 5    // longest wait between polls, in intervals (step 1)
-	pollCrowd      = 4    // routers that may poll a server within one interval; more stretch their timers
-	loadSteps      = 4    // steps in which told utilization counts
-	proofPolls     = 2    // polls hurried for a read that no told position suits
-	startLimit     = 16.0 // outstanding requests, of all routers, at a server that is not known yet
-	paceCut        = 0.8  // the pace's factor after a refusal for want of room, or no answer in time
-	paceGrowth     = 0.1  // growth of the pace by an answer in time, as a share of it
-	leastPace      = 0.02
+	failureLimit   = 2               // failed polls in a row until a server is down (step 1)
+	pollJitter     = 0.4             // random part of a poll's wait, in intervals (step 1)
+	pollCap        = 5               // longest wait between polls, in intervals (step 1)
+	pollCrowd      = 4               // routers that may poll a server within one interval; more stretch their timers
+	loadSteps      = 4               // steps in which told utilization counts
+	proofPolls     = 2               // polls hurried for a read that no told position suits
+	startLimit     = 16.0            // outstanding requests, of all routers, at a server that is not known yet
+	paceCut        = 0.8             // the pace's factor after a refusal for want of room, or no answer in time
+	paceGrowth     = 0.1             // growth of the pace by an answer in time, as a share of it
+	leastPace      = 10.0            // requests, of all routers, below which the pace does not fall
 	limitCut       = 0.9             // the limit's factor after an answer near its target
 	limitGrowth    = 0.05            // most growth of a limit by one answer, as a share of it
 	fullCut        = 0.6             // the limit's factor after a refusal for want of room, or no answer in time
@@ -935,7 +935,7 @@
 		s.limit, s.cutAt, s.failed = max(1, min(s.limit, float64(len(s.out)+1))*limit), r.now, pace < 1
 	}
 	if g := q.pool(); s.limit == 1 && float64(r.now-g.cutAt) > s.group.latency {
-		g.pace, g.cutAt = max(leastPace, g.pace*pace), r.now
+		g.pace, g.cutAt = max(min(1, r.ours(leastPace)), g.pace*pace), r.now
 	}
 }
 
