--- a/balance/balance.go
+++ b/balance/balance.go
@@ -122,7 +122,7 @@
 	loadAt         time.Duration
 	mute           int // attempts given up in silence since its last answer
 	trialAt        time.Duration
-	usedAt         time.Duration // when its connections were last in use
+	conns          int           // connections that it is taken to have open
 	unreached      bool          // no connection could be had, no poll since
 	sentAt         time.Duration // when its last attempt went
 	credit         float64       // sends it may have while cold
@@ -542,8 +542,8 @@
 // freshen tells how long the connection for a send to s has been idle, and closes connections idle for so
 // long that requests on them were lost before.
 func (r *Router) freshen(s *server) time.Duration {
-	idle := r.now - s.usedAt
-	if s.usedAt == 0 || len(s.out) > 0 {
+	idle := r.now - s.answered
+	if s.answered == 0 || len(s.out) > 0 {
 		return 0
 	}
 	if r.reap > 0 && r.now-r.reapedAt > regain {
@@ -551,6 +551,7 @@
 	}
 	if r.reap > 0 && idle >= r.reap {
 		r.acts = append(r.acts, Action{Kind: ActionDisconnect, Server: s.id})
+		s.conns = 0
 		return 0
 	}
 	return idle
@@ -561,7 +562,7 @@
 // hung server costs one more attempt, on a new connection, before it is left.
 func (r *Router) lost(s *server, q *request) bool {
 	i := slices.IndexFunc(s.out, func(f flight) bool { return f.id == q.id && f.attempt == q.sends-1 })
-	if i < 0 || s.out[i].idle < r.interval {
+	if i < 0 || s.out[i].idle < r.interval || r.now < r.scarce {
 		return false
 	}
 	if r.reap == 0 || s.out[i].idle < r.reap {
@@ -681,7 +682,7 @@
 // in coarse steps and not for long.
 func (r *Router) inTurn(a, b *server) int {
 	if r.now < r.scarce {
-		return cmp.Or(cmp.Compare(len(a.out), len(b.out)), cmp.Compare(b.usedAt, a.usedAt))
+		return cmp.Or(cmp.Compare(b.idleConns(), a.idleConns()), cmp.Compare(b.answered, a.answered))
 	}
 	return cmp.Or(cmp.Compare(len(a.out), len(b.out)), cmp.Compare(r.doubt(a), r.doubt(b)),
 		cmp.Compare(r.toldLoad(a), r.toldLoad(b)),
@@ -696,6 +697,8 @@
 	return 0
 }
 
+func (s *server) idleConns() int { return max(0, min(1, s.conns-len(s.out))) }
+
 func (r *Router) toldLoad(s *server) int {
 	if s.loadAt == 0 || r.now-s.loadAt > 4*r.interval {
 		return loadSteps / 2
@@ -761,6 +764,9 @@
 // room tells whether a server may hold one more. Many routers before few servers overload them with one
 // request each; a limit below 1 therefore lets one go only every so often.
 func (r *Router) room(s *server, share float64) bool {
+	if r.now < r.scarce && s.conns > 0 && len(s.out) >= s.conns {
+		return false // waiting for a connection in use is quicker than opening one
+	}
 	return float64(len(s.out)) < max(1, s.limit*share)
 }
 
@@ -879,11 +885,10 @@
 
 // landed books an attempt's end at its server.
 func (r *Router) landed(s *server, q *request, e *Event) {
-	s.usedAt = r.now
 	s.out = slices.DeleteFunc(s.out, func(f flight) bool { return f.id == e.Request && f.attempt == e.Attempt })
 	switch e.Outcome {
 	case OutcomeOK, OutcomeError, OutcomeFull, OutcomeMiss:
-		s.answered, s.mute = r.now, 0
+		s.answered, s.mute, s.conns = r.now, 0, max(s.conns, len(s.out)+1)
 		r.note(s, e, q != nil && q.class.Need == NeedWrite)
 		if e.Outcome == OutcomeOK {
 			r.learn(s, q, e.Age)
@@ -897,7 +902,7 @@
 	case OutcomeReset:
 		s.reset, s.polled, s.nextPoll = true, !r.cfg.Probing, r.now
 	case OutcomeConnectFailed:
-		s.unreached = true
+		s.unreached, s.conns, r.reap = true, len(s.out), 0
 		s.polled, s.nextPoll = !r.cfg.Probing, r.now
 	}
 }
