--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,6 +25,7 @@
 	startLimit     = 16.0            // outstanding requests, of all routers, at a server that is not known yet
 	paceCut        = 0.8             // the pace's factor after a refusal for want of room, or no answer in time
 	paceGrowth     = 0.1             // growth of the pace by an answer in time, as a share of it
+	missWeight     = 0.15            // weight of a new answer in the share that is missing
 	leastPace      = 10.0            // requests, of all routers, below which the pace does not fall
 	limitCut       = 0.9             // the limit's factor after an answer near its target
 	limitGrowth    = 0.05            // most growth of a limit by one answer, as a share of it
@@ -85,9 +86,10 @@
 // pool is what a group's requests of one kind share when no server's limit can fall further: the part of
 // them that is sent.
 type pool struct {
-	pace  float64
-	allow float64 // first attempts that may go now
-	cutAt time.Duration
+	pace    float64
+	allow   float64 // first attempts that may go now
+	cutAt   time.Duration
+	missing float64 // mean share of answers that do not come
 }
 
 type flight struct {
@@ -897,7 +899,7 @@
 		}
 	case OutcomeTimeout, OutcomeCancelled:
 		if q != nil && float64(e.Age) > nearTarget*float64(q.class.Target) {
-			r.cut(s, q, fullCut, 1) // one that was given little time tells nothing
+			r.missing(s, q) // one that was given little time tells nothing
 		}
 	case OutcomeReset:
 		s.reset, s.polled, s.nextPoll = true, !r.cfg.Probing, r.now
@@ -923,6 +925,7 @@
 		return
 	}
 	g := q.pool()
+	g.missing -= missWeight * g.missing
 	g.pace = min(1, g.pace*(1+paceGrowth))
 	if float64(len(s.out)+1) >= s.limit/2 {
 		if s.cutAt == 0 {
@@ -950,6 +953,16 @@
 	}
 }
 
+// missing books an answer that did not come. A part may be lost with connections, on links or at a server
+// that hangs, and tells nothing of load; where most are missing, queues eat them.
+func (r *Router) missing(s *server, q *request) {
+	g, pace := q.pool(), 1.0
+	if g.missing += missWeight * (1 - g.missing); g.missing > 0.5 {
+		pace = paceCut
+	}
+	r.cut(s, q, fullCut, pace)
+}
+
 // pool is the pool that a request belongs to.
 func (q *request) pool() *pool {
 	if q.class.Need <= NeedFresh {
