--- a/balance/balance.go
+++ b/balance/balance.go
@@ -300,7 +300,7 @@
 func (r *Router) groupOf(n int) *group {
 	g := r.groups[n]
 	if g == nil {
-		g = &group{latency: float64(r.interval) / 4, pools: [3]pool{{pace: 1}, {pace: max(0.4, min(1, 2*r.ours(pollCrowd)))}, {allow: r.rng.Float64()}}}
+		g = &group{latency: float64(r.interval) / 4, pools: [3]pool{{pace: 1}, {pace: 1}, {allow: r.rng.Float64()}}}
 		r.groups[n] = g
 		r.order = append(r.order, g)
 	}
