--- a/balance/api.go
+++ b/balance/api.go
@@ -161,8 +161,6 @@
 	HasRole     bool
 	Position    time.Duration // rounded down
 	Primary     bool
-	Utilization float64 // share of its cores that is busy, 0 if not told
-	Backlog     float64 // requests that wait there, 0 if not told
 }
 
 // EventKind tells events apart.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,7 +20,6 @@
 	pollJitter     = 0.4             // random part of a poll's wait, in intervals (step 1)
 	pollCap        = 5               // longest wait between polls, in intervals (step 1)
 	pollCrowd      = 4               // routers that may poll a server within one interval; more stretch their timers
-	loadSteps      = 4               // steps in which told utilization counts
 	proofPolls     = 2               // polls hurried for a read that no told position suits
 	startLimit     = 16.0            // outstanding requests, of all routers, at a server that is not known yet
 	paceCut        = 0.8             // the pace's factor after a refusal for want of room, or no answer in time
@@ -118,12 +117,7 @@
 	out            []flight
 	limit          float64
 	cutAt          time.Duration
-	failed         bool // it was cut last for a refusal or for no answer
 	answered       time.Duration
-	load           int // told utilization in steps, one more where requests wait
-	loadAt         time.Duration
-	mute           int // attempts given up in silence since its last answer
-	trialAt        time.Duration
 	conns          int           // connections that it is taken to have open
 	unreached      bool          // no connection could be had, no poll since
 	sentAt         time.Duration // when its last attempt went
@@ -373,12 +367,6 @@
 }
 
 func (r *Router) report(s *server, rep *Report) {
-	if rep.Valid {
-		s.load, s.loadAt = min(int(rep.Utilization*loadSteps), loadSteps), r.now
-		if rep.Backlog > 0 {
-			s.load = loadSteps + 1
-		}
-	}
 	if !rep.Valid || !rep.HasPosition {
 		return
 	}
@@ -678,36 +666,17 @@
 	return r.best(q, r.proven, r.inTurn)
 }
 
-// inTurn orders by outstanding requests, then by told load, then in turn. A router with few requests sees no
-// difference in what it has out; the document's own measure, the server's use of its cores, then tells. It
-// guards against servers that grow slow; it could hurt if many routers followed one old report, so it counts
-// in coarse steps and not for long.
+// inTurn orders by outstanding requests, ties in turn. While connections are refused, open ones go first:
+// that keeps a small router on the few servers that it is connected to.
 func (r *Router) inTurn(a, b *server) int {
 	if r.now < r.scarce {
 		return cmp.Or(cmp.Compare(b.idleConns(), a.idleConns()), cmp.Compare(b.answered, a.answered))
 	}
-	return cmp.Or(cmp.Compare(len(a.out), len(b.out)), cmp.Compare(r.doubt(a), r.doubt(b)),
-		cmp.Compare(r.toldLoad(a), r.toldLoad(b)),
-		cmp.Compare(a.turn, b.turn))
-}
-
-// doubt tells whether a server refused or left a request unanswered not long ago.
-func (r *Router) doubt(s *server) int {
-	if s.failed && r.now-s.cutAt < regain {
-		return 1
-	}
-	return 0
+	return cmp.Or(cmp.Compare(len(a.out), len(b.out)), cmp.Compare(a.turn, b.turn))
 }
 
 func (s *server) idleConns() int { return max(0, min(1, s.conns-len(s.out))) }
 
-func (r *Router) toldLoad(s *server) int {
-	if s.loadAt == 0 || r.now-s.loadAt > 4*r.interval {
-		return loadSteps / 2
-	}
-	return s.load
-}
-
 // mostAdvanced picks the replica that most likely has what a read needs, where servers check reads.
 func (r *Router) mostAdvanced(q *request) *server {
 	return r.best(q, r.hopeful, r.inTurn)
@@ -773,13 +742,9 @@
 }
 
 // silent tells whether a server keeps requests without answering any. Covers hangs, pauses and cut links
-// before any time-out is due. It hurts when a lone long request looks like silence: its server then rests
-// until it answers, and after attempts were given up it gets one trial at a time.
+// before any time-out is due. It hurts when a lone long request looks like silence.
 func (r *Router) silent(s *server) bool {
-	if len(s.out) == 0 {
-		return s.mute > 0 && r.now < s.trialAt
-	}
-	return s.mute > 0 || r.now-max(s.answered, s.out[0].sent) > r.patience(s)
+	return len(s.out) > 0 && r.now-max(s.answered, s.out[0].sent) > r.patience(s)
 }
 
 // patience is how long a server may go without an answer. One request alone proves less than several: it may
@@ -890,7 +855,7 @@
 	s.out = slices.DeleteFunc(s.out, func(f flight) bool { return f.id == e.Request && f.attempt == e.Attempt })
 	switch e.Outcome {
 	case OutcomeOK, OutcomeError, OutcomeFull, OutcomeMiss:
-		s.answered, s.mute, s.conns = r.now, 0, max(s.conns, len(s.out)+1)
+		s.answered, s.conns = r.now, max(s.conns, len(s.out)+1)
 		r.note(s, e, q != nil && q.class.Need == NeedWrite)
 		if e.Outcome == OutcomeOK {
 			r.learn(s, q, e.Age)
@@ -940,7 +905,7 @@
 // there the pool's pace falls instead, so that many routers with few requests each send a part of them.
 func (r *Router) cut(s *server, q *request, limit, pace float64) {
 	if float64(r.now-s.cutAt) > s.group.latency {
-		s.limit, s.cutAt, s.failed = max(1, min(s.limit, float64(len(s.out)+1))*limit), r.now, pace < 1
+		s.limit, s.cutAt = max(1, min(s.limit, float64(len(s.out)+1))*limit), r.now
 	}
 	if g := q.pool(); s.limit == 1 && float64(r.now-g.cutAt) > s.group.latency {
 		g.pace, g.cutAt = max(min(1, r.ours(leastPace)), g.pace*pace), r.now
@@ -1065,23 +1030,15 @@
 	if s == nil || q.pulled || !r.maySend(q) && r.cfg.ParallelTries || !r.silentOn(s, q) {
 		return
 	}
-	lost := r.lost(s, q)
-	if q.class.Effect != Safe && !lost {
-		return
-	}
-	if r.cfg.ParallelTries {
+	switch lost := r.lost(s, q); {
+	case q.class.Effect != Safe && !lost:
+	case r.cfg.ParallelTries:
 		if q.out < 2 && r.budget >= 1 && r.place(q) {
 			r.budget--
-			if !lost {
-				r.muted(s)
-			}
 		}
-	} else if r.cfg.Cancel && q.class.Effect == Safe && r.budget >= 1 { // else the first may still be answered
+	case r.cfg.Cancel && q.class.Effect == Safe && r.budget >= 1: // else the first may still be answered
 		q.pulled = true
 		r.acts = append(r.acts, Action{Kind: ActionWithdraw, Request: q.id, Attempt: q.sends - 1})
-		if !lost {
-			r.muted(s)
-		}
 	}
 }
 
@@ -1091,14 +1048,6 @@
 		slices.ContainsFunc(s.out, func(f flight) bool { return f.id == q.id })
 }
 
-func (r *Router) muted(s *server) {
-	if s.mute == 0 {
-		r.log(fmt.Sprintf("server %x is silent", uint64(s.id)))
-	}
-	s.mute = min(s.mute+1, 4)
-	s.trialAt = r.now + r.interval<<s.mute
-}
-
 // prune forgets old sessions.
 func (r *Router) prune() {
 	if r.now-r.pruned > forget {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -390,10 +390,6 @@
 			continue
 		}
 		switch fields[i] {
-		case "utilization":
-			rep.Utilization = max(float64(v), 0)
-		case "backlog":
-			rep.Backlog = max(float64(v), 0)
 		case "x0":
 			rep.HasPosition, rep.Position = true, floorSeconds(v)
 		case "x1":
