--- a/balance/balance.go
+++ b/balance/balance.go
@@ -57,7 +57,8 @@
 	sessions map[uint64]time.Duration
 	floor    time.Duration // the newest commit among forgotten sessions
 	pruned   time.Duration
-	budget   float64
+	budget   float64 // for resends
+	futile   float64 // mean share of resends after an error that end in one again
 	turn     uint64
 	interval time.Duration // between polls where work waits for them
 	idle     time.Duration // between polls where answers or nothing need them
@@ -99,52 +100,45 @@
 }
 
 type server struct {
-	id             ServerID
-	group          *group
-	zone           int
-	life           Life
-	toldAt         time.Duration
-	started        time.Duration
-	position       time.Duration // the highest told
-	heardAt        time.Duration // when it was told
-	denied         time.Duration // when it last said that it is no primary
-	polled         bool          // answered a poll since it last failed
-	polledAt       time.Duration // when its last poll went
-	fails          int
-	polling, reset bool
-	heard          bool // its first poll has ended
-	nextPoll       time.Duration
-	out            []flight
-	limit          float64
-	cutAt          time.Duration
-	answered       time.Duration
-	conns          int           // connections that it is taken to have open
-	unreached      bool          // no connection could be had, no poll since
-	sentAt         time.Duration // when its last attempt went
-	credit         float64       // sends it may have while cold
-	turn           uint64
+	id                 ServerID
+	group              *group
+	zone               int
+	life               Life
+	toldAt, started    time.Duration
+	position, heardAt  time.Duration // the highest told, and when
+	denied             time.Duration // when it last said that it is no primary
+	polled, heard      bool          // answered a poll since it last failed; its first poll has ended
+	polling            bool
+	reset, unreached   bool // a connection broke, or none could be had; no poll since
+	polledAt, nextPoll time.Duration
+	fails              int
+	out                []flight
+	limit              float64
+	cutAt, answered    time.Duration
+	conns              int     // connections that it is taken to have open
+	credit             float64 // sends it may have while cold
+	turn               uint64
 }
 
 type request struct {
-	id                             RequestID
-	class                          *Class
-	group                          *group
-	key                            uint64
-	arrived                        time.Duration
-	deadline                       time.Duration
-	need                           time.Duration // position that a session read must see
-	sends, out, asked              int           // asked: polls hurried for it
-	askedAt                        time.Duration
-	ran                            bool          // an ended attempt may have run
-	since                          time.Duration // send of the first attempt that may have run
-	zone                           int           // of its server
-	after                          time.Duration // a poll sent later must name the primary
-	last                           *server
-	sent                           time.Duration // when its last attempt went
+	id                RequestID
+	class             *Class
+	group             *group
+	key               uint64
+	arrived, deadline time.Duration
+	need              time.Duration // position that a session read must see
+	sends, out, asked int           // asked: polls hurried for it
+	askedAt           time.Duration
+	ran               bool          // an ended attempt may have run
+	since             time.Duration // send of the first attempt that may have run
+	zone              int           // of its server
+	after             time.Duration // a poll sent later must name the primary
+	last              *server
+	sent              time.Duration // when its last attempt went
+	fallback, counted bool          // among the reads at the primary; in the credit of a cold primary
+	full, erred       bool          // its last attempt was refused for want of room; one ended in an error
+
 	pulled, missed, streamed, done bool
-	fallback                       bool // counted among the reads at the primary
-	counted                        bool // in the credit of a cold primary
-	full                           bool // its last attempt was refused for want of room
 }
 
 // New returns a router that knows nothing yet. An unusable Config is an error.
@@ -266,10 +260,11 @@
 			s.group.primary = nil // a process that started again begins as a replica
 		}
 	}
-	s.zone, s.started = e.Zone, max(s.started, e.Started)
-	if e.Life != s.life {
+	// An old list may come again: a drain once told binds until the process has started anew.
+	if e.Life != s.life && (s.life != LifeDraining || e.Started > s.started) {
 		s.life, s.toldAt = e.Life, r.now
 	}
+	s.zone, s.started = e.Zone, max(s.started, e.Started)
 }
 
 // ours is this router's part of what all routers may have out at a server.
@@ -301,17 +296,13 @@
 	return g
 }
 
-func (r *Router) subscribe() {
-	r.acts = append(r.acts, Action{Kind: ActionSubscribe})
-	r.askAt = math.MaxInt64
-}
-
 // ---- polls and what servers tell
 
 // pollDue sends the polls whose own timers have come (step 1).
 func (r *Router) pollDue() {
 	if r.now >= r.askAt {
-		r.subscribe()
+		r.acts = append(r.acts, Action{Kind: ActionSubscribe})
+		r.askAt = math.MaxInt64
 	}
 	for _, g := range r.order {
 		for _, s := range g.members {
@@ -496,10 +487,7 @@
 	if !r.maySend(q) {
 		return false
 	}
-	if g := q.pool(); q.sends == 0 && g.pace < 1 && g.allow < 1 {
-		return false
-	}
-	if q.full && r.budget < 1 {
+	if q.sends == 0 && !q.pool().admits() || q.full && r.budget < 1 {
 		return false // a full server's peers are likely full: hold it
 	}
 	s := r.pick(q)
@@ -524,7 +512,6 @@
 	if q.class.Need > NeedFresh && s == q.group.primary {
 		q.group.pools[2].allow--
 	}
-	s.sentAt = r.now
 	r.credit(s, q)
 	return true
 }
@@ -592,47 +579,43 @@
 func (r *Router) pick(q *request) *server {
 	p := q.group.primary
 	if q.class.Need <= NeedFresh {
-		share := 1.0
-		if q.class.Need == NeedWrite {
-			share = writeShare
-			if p == nil && !r.cfg.Probing { // nothing else finds it; a miss is harmless
-				p = r.best(q, func(*server, *request) bool { return true }, r.inTurn)
-			}
+		if p == nil && !r.cfg.Probing && q.class.Need == NeedWrite { // nothing else finds it; a miss is harmless
+			p = r.best(q, func(*server, *request) bool { return true })
 		}
-		if p == nil || q.strays(p) || q.group.named < q.after && r.cfg.Probing || !r.takes(p, q, share) {
+		if p == nil || q.strays(p) || q.group.named < q.after && r.cfg.Probing || !r.takes(p, q) {
 			return nil
 		}
 		return p
 	}
-	if s := r.leastLoaded(q); s != nil {
+	if s := r.best(q, r.proven); s != nil {
 		return s
 	}
 	if r.cfg.Behind != BehindServe && !q.missed {
-		if s := r.mostAdvanced(q); s != nil {
+		if s := r.best(q, r.hopeful); s != nil {
 			return s
 		}
 	}
-	if r.proving(q) {
+	if p == nil || p == q.last || r.proving(q) || q.group.unheard() || !r.takes(p, q) || !r.fallsBack(q) {
 		return nil
 	}
-	if p == nil || p == q.last || q.group.unheard() || !r.takes(p, q, fallbackShare) {
-		return nil
+	return p
+}
+
+// fallsBack tells whether a read may go to the primary. The part that may starts at one member's share, or at
+// all where routers are few, and moves with the answers. Guards writes against reads of lagging replicas.
+func (r *Router) fallsBack(q *request) bool {
+	f := &q.group.pools[2]
+	if f.pace == 0 {
+		f.pace = min(1, max(1/float64(len(q.group.members)), 2*r.ours(pollCrowd)))
 	}
-	g := q.group
 	if !q.fallback {
-		q.fallback = true
-		f := &g.pools[2]
-		if f.pace == 0 {
-			f.pace = min(1, max(1/float64(len(g.members)), 2*r.ours(pollCrowd)))
-		}
-		f.allow = min(f.allow+f.pace, 1)
+		q.fallback, f.allow = true, min(f.allow+f.pace, 1)
 	}
-	if f := g.pools[2]; f.pace < 1 && f.allow < 1 {
-		return nil
-	}
-	return p
+	return f.admits()
 }
 
+func (p *pool) admits() bool { return p.pace >= 1 || p.allow >= 1 }
+
 // proving hurries polls of replicas for a read that no told position suits, and tells whether one is still
 // out. With many routers the timers and answers of each are too far apart to prove freshness; a poll for
 // the read that needs it is cheaper than timers that run for nothing. It hurts when reports are older than
@@ -644,7 +627,7 @@
 	for ; q.asked < proofPolls; q.asked++ {
 		s := r.best(q, func(s *server, q *request) bool {
 			return !s.polling && r.now-max(s.polledAt, s.heardAt) > r.interval && !r.proven(s, q)
-		}, r.inTurn)
+		})
 		if s == nil {
 			break
 		}
@@ -661,11 +644,6 @@
 	return slices.ContainsFunc(g.members, func(s *server) bool { return !s.heard })
 }
 
-// leastLoaded picks among the active replicas whose told position suffices, ties in turn.
-func (r *Router) leastLoaded(q *request) *server {
-	return r.best(q, r.proven, r.inTurn)
-}
-
 // inTurn orders by outstanding requests, ties in turn. While connections are refused, open ones go first:
 // that keeps a small router on the few servers that it is connected to.
 func (r *Router) inTurn(a, b *server) int {
@@ -677,19 +655,11 @@
 
 func (s *server) idleConns() int { return max(0, min(1, s.conns-len(s.out))) }
 
-// mostAdvanced picks the replica that most likely has what a read needs, where servers check reads.
-func (r *Router) mostAdvanced(q *request) *server {
-	return r.best(q, r.hopeful, r.inTurn)
-}
-
-// best picks the first by an order among the replicas that fit and have room.
-func (r *Router) best(q *request, fit func(*server, *request) bool, order func(a, b *server) int) *server {
+// best picks the first in turn among the replicas that fit and have room.
+func (r *Router) best(q *request, fit func(*server, *request) bool) *server {
 	var best *server
 	for _, s := range q.group.members {
-		if s == q.group.primary || s == q.last || !fit(s, q) || !r.takes(s, q, 1) {
-			continue
-		}
-		if best == nil || order(s, best) < 0 {
+		if s != q.group.primary && s != q.last && fit(s, q) && r.takes(s, q) && (best == nil || r.inTurn(s, best) < 0) {
 			best = s
 		}
 	}
@@ -719,26 +689,26 @@
 	return true
 }
 
-// takes tells whether a server is active and has room within a share of its limit.
-func (r *Router) takes(s *server, q *request, share float64) bool {
-	if !s.polled || !r.room(s, share) || r.silent(s) || !r.warmEnough(s, q) {
+// takes tells whether a server is active and has room.
+func (r *Router) takes(s *server, q *request) bool {
+	if !s.polled || !r.room(s, q) || r.silent(s) || !r.warmEnough(s, q) {
 		return false
 	}
-	if s.life == LifeReady {
-		return true
-	}
 	// A draining primary still takes writes until it hands over; the grace bounds that.
-	return s.life == LifeDraining && s == s.group.primary && q.class.Need <= NeedFresh &&
+	return s.life == LifeReady || s.life == LifeDraining && s == s.group.primary && q.class.Need <= NeedFresh &&
 		r.now-s.toldAt < r.cfg.DrainGrace-2*r.cfg.Round
 }
 
-// room tells whether a server may hold one more. Many routers before few servers overload them with one
-// request each; a limit below 1 therefore lets one go only every so often.
-func (r *Router) room(s *server, share float64) bool {
-	if r.now < r.scarce && s.conns > 0 && len(s.out) >= s.conns {
-		return false // waiting for a connection in use is quicker than opening one
+// room tells whether a server may hold one more. While connections are refused, waiting for one in use is
+// quicker than opening one.
+func (r *Router) room(s *server, q *request) bool {
+	share := 1.0
+	if q.class.Need == NeedWrite {
+		share = writeShare
+	} else if q.class.Need > NeedFresh && s == s.group.primary {
+		share = fallbackShare
 	}
-	return float64(len(s.out)) < max(1, s.limit*share)
+	return float64(len(s.out)) < max(1, s.limit*share) && (r.now >= r.scarce || s.conns == 0 || len(s.out) < s.conns)
 }
 
 // silent tells whether a server keeps requests without answering any. Covers hangs, pauses and cut links
@@ -820,7 +790,17 @@
 	}
 	q.out--
 	if e.Outcome == OutcomeOK && q.class.Need == NeedWrite && r.cfg.RouterTokens {
-		r.remember(q, e)
+		commit := r.now
+		if e.Position > 0 {
+			commit = r.cfg.Origin + e.Position
+		}
+		r.sessions[q.key] = max(r.sessions[q.key], commit)
+	}
+	if q.erred && e.Outcome <= OutcomeOK { // errors at every server are the request's own fault
+		r.futile *= 1 - missWeight
+		if e.Outcome == OutcomeError {
+			r.futile += missWeight
+		}
 	}
 	if e.Settled || q.done {
 		r.close(q)
@@ -842,14 +822,6 @@
 	}
 }
 
-func (r *Router) remember(q *request, e *Event) {
-	commit := r.now
-	if e.Position > 0 {
-		commit = r.cfg.Origin + e.Position
-	}
-	r.sessions[q.key] = max(r.sessions[q.key], commit)
-}
-
 // landed books an attempt's end at its server.
 func (r *Router) landed(s *server, q *request, e *Event) {
 	s.out = slices.DeleteFunc(s.out, func(f flight) bool { return f.id == e.Request && f.attempt == e.Attempt })
@@ -859,8 +831,8 @@
 		r.note(s, e, q != nil && q.class.Need == NeedWrite)
 		if e.Outcome == OutcomeOK {
 			r.learn(s, q, e.Age)
-		} else if e.Outcome == OutcomeFull {
-			r.fell(s, q)
+		} else if e.Outcome == OutcomeFull && q != nil {
+			r.cut(s, q, fullCut, paceCut)
 		}
 	case OutcomeTimeout, OutcomeCancelled:
 		if q != nil && float64(e.Age) > nearTarget*float64(q.class.Target) {
@@ -912,12 +884,6 @@
 	}
 }
 
-func (r *Router) fell(s *server, q *request) {
-	if q != nil {
-		r.cut(s, q, fullCut, paceCut)
-	}
-}
-
 // missing books an answer that did not come. A part may be lost with connections, on links or at a server
 // that hangs, and tells nothing of load; where most are missing, queues eat them.
 func (r *Router) missing(s *server, q *request) {
@@ -941,10 +907,11 @@
 
 // again decides on a request none of whose attempts is out.
 func (r *Router) again(q *request, o Outcome) {
-	if !r.maySend(q) || q.ran && !r.spend() {
+	if !r.maySend(q) || o == OutcomeError && r.rng.Float64() < r.futile || q.ran && !r.spend() {
 		r.finish(q)
 		return
 	}
+	q.erred = q.erred || o == OutcomeError
 	r.place(q)
 }
 
@@ -1027,7 +994,8 @@
 // rescue tries a request elsewhere whose server has gone silent; a write only where its connection was lost.
 func (r *Router) rescue(q *request) {
 	s := q.last
-	if s == nil || q.pulled || !r.maySend(q) && r.cfg.ParallelTries || !r.silentOn(s, q) {
+	if s == nil || q.pulled || !r.maySend(q) && r.cfg.ParallelTries || r.now-max(q.sent, s.answered) <= r.patience(s) ||
+		!slices.ContainsFunc(s.out, func(f flight) bool { return f.id == q.id }) {
 		return
 	}
 	switch lost := r.lost(s, q); {
@@ -1042,12 +1010,6 @@
 	}
 }
 
-// silentOn tells whether q's server has been silent since q came.
-func (r *Router) silentOn(s *server, q *request) bool {
-	return r.now-max(q.sent, s.answered) > r.patience(s) &&
-		slices.ContainsFunc(s.out, func(f flight) bool { return f.id == q.id })
-}
-
 // prune forgets old sessions.
 func (r *Router) prune() {
 	if r.now-r.pruned > forget {
