--- a/balance/balance.go
+++ b/balance/balance.go
@@ -38,7 +38,6 @@
 	retryShare     = 0.05            // retry budget earned by each first attempt
 	retryBurst     = 20.0            // most retry budget kept
 	regain         = 5 * time.Second // a server that failed an attempt is passed over for others
-	logLines       = 100             // log lines a router may write in its life
 	forget         = 60 * time.Second
 )
 
@@ -53,25 +52,19 @@
 	order    []*group               // groups in order of first mention
 	open     map[RequestID]*request // not answered, or with attempts out
 	queue    []*request             // open requests in order of arrival
-	held     []*request             // scratch
 	sessions map[uint64]time.Duration
 	floor    time.Duration // the newest commit among forgotten sessions
-	pruned   time.Duration
-	budget   float64 // for resends
-	futile   float64 // mean share of resends after an error that end in one again
-	turn     uint64
+	budget   float64       // for resends
+	futile   float64       // mean share of resends after an error that end in one again
 	interval time.Duration // between polls where work waits for them
 	idle     time.Duration // between polls where answers or nothing need them
-	sweepGap time.Duration
-	swept    time.Duration
 	reap     time.Duration // connections idle for longer are taken for dropped
 	reapedAt time.Duration // when that was learned
 	scarce   time.Duration // until when servers are taken to accept few connections
 	kick     bool          // something changed that may let held requests go
-	askAt    time.Duration
-	armed    time.Duration
-	token    uint64
-	logs     int
+
+	sweepGap, swept, pruned, askAt, armed time.Duration
+	turn, token                           uint64
 }
 
 type group struct {
@@ -158,16 +151,16 @@
 	}
 	cfg.Round = max(cfg.Round, time.Millisecond)
 	cfg.TryLimit = max(cfg.TryLimit, 1)
-	askAt := time.Duration(math.MaxInt64)
-	if cfg.AskList {
-		askAt = math.MinInt64
-	}
 	interval := max(least, 10*cfg.Round)
 	idle := interval * time.Duration(max(cfg.Routers, pollCrowd)) / pollCrowd
-	return &Router{cfg: cfg, askAt: askAt, idle: idle,
-		rng: rand.New(rand.NewPCG(seed, seed)), servers: map[ServerID]*server{},
+	r := &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed)), servers: map[ServerID]*server{},
 		groups: map[int]*group{}, open: map[RequestID]*request{}, sessions: map[uint64]time.Duration{},
-		interval: interval, sweepGap: max(cfg.Round, least/25), budget: retryBurst * float64(interval) / float64(idle)}, nil
+		interval: interval, idle: idle, sweepGap: max(cfg.Round, least/25), askAt: math.MaxInt64,
+		budget: retryBurst * float64(interval) / float64(idle)}
+	if cfg.AskList {
+		r.askAt = math.MinInt64
+	}
+	return r, nil
 }
 
 // Step takes a batch of events, all at one clock, and appends the actions to take, in order. A clock
@@ -193,7 +186,7 @@
 	case EventRequest:
 		r.request(e)
 	case EventOpened:
-		if q := r.open[e.Request]; q != nil && !q.done {
+		if q := r.open[e.Request]; q != nil {
 			q.streamed = true
 		}
 	case EventOutcome:
@@ -226,12 +219,10 @@
 		seen[e.Entries[i].Server] = true
 		r.entry(&e.Entries[i])
 	}
-	if e.List != ListDelta {
-		for _, g := range r.order {
-			for _, s := range slices.Clone(g.members) {
-				if !seen[s.id] {
-					r.gone(s)
-				}
+	for _, g := range r.order {
+		for _, s := range slices.Clone(g.members) {
+			if e.List != ListDelta && !seen[s.id] {
+				r.gone(s)
 			}
 		}
 	}
@@ -240,13 +231,13 @@
 
 func (r *Router) entry(e *Entry) {
 	s := r.servers[e.Server]
-	if e.Life == LifeGone {
-		if s != nil {
-			r.gone(s)
-		}
+	switch {
+	case s == nil && e.Life == LifeGone:
 		return
-	}
-	if s == nil {
+	case e.Life == LifeGone:
+		r.gone(s)
+		return
+	case s == nil:
 		g := r.groupOf(e.Group)
 		s = &server{id: e.Server, group: g, credit: r.rng.Float64(), limit: r.startLimit(), polled: !r.cfg.Probing,
 			heard: !r.cfg.Probing}
@@ -254,7 +245,7 @@
 		r.servers[s.id] = s
 		g.members = append(g.members, s)
 		slices.SortFunc(g.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
-	} else if e.Started > s.started {
+	case e.Started > s.started:
 		s.credit, s.nextPoll = r.rng.Float64(), r.now
 		if s.group.primary == s {
 			s.group.primary = nil // a process that started again begins as a replica
@@ -339,12 +330,11 @@
 		s.polled = false
 	}
 	s.heard = s.heard || s.polled || s.fails >= failureLimit
-	interval := r.idle
+	wait := r.idle
 	if s.fails > 0 {
-		interval = r.interval
+		wait = min(time.Duration(1+s.fails)*r.interval, pollCap*r.idle)
 	}
-	s.nextPoll = r.now + min(time.Duration(1+s.fails)*interval, pollCap*r.idle) +
-		time.Duration(pollJitter*r.rng.Float64()*float64(interval))
+	s.nextPoll = r.now + wait + time.Duration(pollJitter*r.rng.Float64()*float64(min(wait, r.idle)))
 }
 
 // recover starts a server slowly that comes back from what looked like the death of its process. The
@@ -352,8 +342,7 @@
 // connection alone is no death: a link that cuts connections now and then must not cost the warm server.
 func (r *Router) recover(s *server) {
 	if s.fails >= failureLimit || s.reset && s.fails > 0 {
-		s.started, s.limit, s.cutAt = max(s.started, r.now), r.startLimit(), 0
-		s.credit = r.rng.Float64()
+		s.started, s.limit, s.credit = max(s.started, r.now), r.startLimit(), r.rng.Float64()
 	}
 }
 
@@ -470,15 +459,12 @@
 }
 
 func (r *Router) sessionNeed(e *Event) time.Duration {
-	if !r.cfg.RouterTokens {
-		if e.SinceWrite > 0 {
-			return r.now - e.SinceWrite
-		}
-		return 0
-	}
 	if commit, ok := r.sessions[e.Key]; ok {
 		return commit
 	}
+	if e.SinceWrite > 0 && !r.cfg.RouterTokens {
+		return r.now - e.SinceWrite
+	}
 	return r.floor
 }
 
@@ -523,10 +509,7 @@
 	if s.answered == 0 || len(s.out) > 0 {
 		return 0
 	}
-	if r.reap > 0 && r.now-r.reapedAt > regain {
-		r.reap = 0 // it may have passed
-	}
-	if r.reap > 0 && idle >= r.reap {
+	if r.reap > 0 && idle >= r.reap && r.now-r.reapedAt <= regain { // later it may have passed
 		r.acts = append(r.acts, Action{Kind: ActionDisconnect, Server: s.id})
 		s.conns = 0
 		return 0
@@ -542,7 +525,7 @@
 	if i < 0 || s.out[i].idle < r.interval || r.now < r.scarce {
 		return false
 	}
-	if r.reap == 0 || s.out[i].idle < r.reap {
+	if r.reap == 0 || s.out[i].idle < r.reap || r.now-r.reapedAt > regain {
 		r.reap = s.out[i].idle
 	}
 	r.reapedAt = r.now
@@ -731,15 +714,12 @@
 // pushing a cold server over, however many and unequal they are: see credit.
 func (r *Router) warmEnough(s *server, q *request) bool {
 	share := r.warmth(s)
-	if share >= 1 {
-		return true
-	}
-	if s == s.group.primary && q.class.Need <= NeedFresh && !q.counted && r.now-q.arrived < r.cfg.Fall {
+	if s == s.group.primary && share < 1 && q.class.Need <= NeedFresh && !q.counted && r.now-q.arrived < r.cfg.Fall {
 		// Nothing else takes these. What waited longer does not count: a backlog would come at once.
 		q.counted = true
 		s.credit += share * max(1, r.cfg.TipMultiple/2)
 	}
-	return s.credit >= 1
+	return share >= 1 || s.credit >= 1
 }
 
 // credit books a send. Each read sent to a warm replica gives its cold peers their least warmth's part of one
@@ -749,12 +729,11 @@
 func (r *Router) credit(s *server, q *request) {
 	if r.warmth(s) < 1 {
 		s.credit--
-		return
 	}
-	if q.class.Need <= NeedFresh {
+	if r.warmth(s) < 1 || q.class.Need <= NeedFresh {
 		return
 	}
-	warm := 0
+	warm := 0.0
 	for _, m := range s.group.members {
 		if m.polled && m != s.group.primary && r.warmth(m) >= 1 {
 			warm++
@@ -762,7 +741,7 @@
 	}
 	for _, m := range s.group.members {
 		if w := r.warmth(m); w < 1 && m != s.group.primary {
-			m.credit = min(m.credit+w/float64(max(warm, 1)), 2)
+			m.credit = min(m.credit+w/max(warm, 1), 2)
 		}
 	}
 }
@@ -853,23 +832,19 @@
 	if q == nil {
 		return
 	}
+	if age > q.class.Target {
+		r.cut(s, q, limitCut, paceCut)
+		return
+	}
 	if float64(age) > nearTarget*float64(q.class.Target) {
-		pace := 1.0
-		if age > q.class.Target {
-			pace = paceCut
-		}
-		r.cut(s, q, limitCut, pace)
+		r.cut(s, q, limitCut, 1)
 		return
 	}
 	g := q.pool()
 	g.missing -= missWeight * g.missing
 	g.pace = min(1, g.pace*(1+paceGrowth))
 	if float64(len(s.out)+1) >= s.limit/2 {
-		if s.cutAt == 0 {
-			s.limit += min(1, s.limit/2)
-		} else {
-			s.limit += min(1/s.limit, limitGrowth*s.limit)
-		}
+		s.limit += min(1/s.limit, limitGrowth*s.limit)
 	}
 }
 
@@ -907,22 +882,17 @@
 
 // again decides on a request none of whose attempts is out.
 func (r *Router) again(q *request, o Outcome) {
-	if !r.maySend(q) || o == OutcomeError && r.rng.Float64() < r.futile || q.ran && !r.spend() {
+	if !r.maySend(q) || o == OutcomeError && r.rng.Float64() < r.futile || q.ran && r.budget < 1 {
 		r.finish(q)
 		return
 	}
+	if q.ran {
+		r.budget--
+	}
 	q.erred = q.erred || o == OutcomeError
 	r.place(q)
 }
 
-func (r *Router) spend() bool {
-	if r.budget < 1 {
-		return false
-	}
-	r.budget--
-	return true
-}
-
 // finish gives the final answer; what is given up on is answered at once.
 func (r *Router) finish(q *request) {
 	a := Action{Kind: ActionFail, Request: q.id}
@@ -951,7 +921,7 @@
 func (r *Router) sweep() {
 	r.swept, r.kick = r.now, false
 	r.prune()
-	r.held = r.held[:0]
+	var held []*request
 	r.queue = slices.DeleteFunc(r.queue, func(q *request) bool { return q.done })
 	for _, q := range r.queue {
 		switch {
@@ -959,14 +929,14 @@
 		case q.out == 0 && r.now >= r.lastCall(q), r.now >= q.deadline+r.cfg.AnswerSlack/2:
 			r.finish(q)
 		case q.out == 0:
-			r.held = append(r.held, q)
+			held = append(held, q)
 		default:
 			r.rescue(q)
 		}
 	}
-	slices.Reverse(r.held) // newest first: in a queue that cannot all be served, the oldest is soonest late
-	slices.SortStableFunc(r.held, func(a, b *request) int { return cmp.Compare(r.worth(b), r.worth(a)) })
-	for _, q := range r.held {
+	slices.Reverse(held) // newest first: in a queue that cannot all be served, the oldest is soonest late
+	slices.SortStableFunc(held, func(a, b *request) int { return cmp.Compare(r.worth(b), r.worth(a)) })
+	for _, q := range held {
 		if !r.place(q) && q.class.Need <= NeedFresh && (q.group.primary == nil || !q.group.primary.polled) {
 			r.hurry(q.group, r.interval) // no backoff while work waits for a primary
 		}
@@ -1012,13 +982,14 @@
 
 // prune forgets old sessions.
 func (r *Router) prune() {
-	if r.now-r.pruned > forget {
-		r.pruned = r.now
-		for key, commit := range r.sessions {
-			if commit < r.now-forget {
-				r.floor = max(r.floor, commit)
-				delete(r.sessions, key)
-			}
+	if r.now-r.pruned <= forget {
+		return
+	}
+	r.pruned = r.now
+	for key, commit := range r.sessions {
+		if commit < r.now-forget {
+			r.floor = max(r.floor, commit)
+			delete(r.sessions, key)
 		}
 	}
 }
@@ -1027,12 +998,10 @@
 
 func (r *Router) arm() {
 	next := r.askAt
-	if r.cfg.Probing {
-		for _, g := range r.order {
-			for _, s := range g.members {
-				if !s.polling {
-					next = min(next, s.nextPoll)
-				}
+	for _, g := range r.order {
+		for _, s := range g.members {
+			if r.cfg.Probing && !s.polling {
+				next = min(next, s.nextPoll)
 			}
 		}
 	}
@@ -1053,9 +1022,4 @@
 	return time.Duration((0.5 + r.rng.Float64()) * float64(d))
 }
 
-func (r *Router) log(text string) {
-	if r.logs < logLines {
-		r.logs++
-		r.acts = append(r.acts, Action{Kind: ActionLog, Text: text})
-	}
-}
+func (r *Router) log(text string) { r.acts = append(r.acts, Action{Kind: ActionLog, Text: text}) }
