--- a/balance/balance.go
+++ b/balance/balance.go
@@ -55,7 +55,6 @@
 	sessions map[uint64]time.Duration
 	floor    time.Duration // the newest commit among forgotten sessions
 	budget   float64       // for resends
-	futile   float64       // mean share of resends after an error that end in one again
 	interval time.Duration // between polls where work waits for them
 	idle     time.Duration // between polls where answers or nothing need them
 	reap     time.Duration // connections idle for longer are taken for dropped
@@ -129,7 +128,7 @@
 	last              *server
 	sent              time.Duration // when its last attempt went
 	fallback, counted bool          // among the reads at the primary; in the credit of a cold primary
-	full, erred       bool          // its last attempt was refused for want of room; one ended in an error
+	full              bool          // its last attempt was refused for want of room
 
 	pulled, missed, streamed, done bool
 }
@@ -775,12 +774,6 @@
 		}
 		r.sessions[q.key] = max(r.sessions[q.key], commit)
 	}
-	if q.erred && e.Outcome <= OutcomeOK { // errors at every server are the request's own fault
-		r.futile *= 1 - missWeight
-		if e.Outcome == OutcomeError {
-			r.futile += missWeight
-		}
-	}
 	if e.Settled || q.done {
 		r.close(q)
 		return
@@ -797,7 +790,7 @@
 		q.ran = true
 	}
 	if q.out == 0 {
-		r.again(q, e.Outcome)
+		r.again(q)
 	}
 }
 
@@ -881,15 +874,14 @@
 }
 
 // again decides on a request none of whose attempts is out.
-func (r *Router) again(q *request, o Outcome) {
-	if !r.maySend(q) || o == OutcomeError && r.rng.Float64() < r.futile || q.ran && r.budget < 1 {
+func (r *Router) again(q *request) {
+	if !r.maySend(q) || q.ran && r.budget < 1 {
 		r.finish(q)
 		return
 	}
 	if q.ran {
 		r.budget--
 	}
-	q.erred = q.erred || o == OutcomeError
 	r.place(q)
 }
 
