--- a/balance/balance.go
+++ b/balance/balance.go
@@ -169,11 +169,10 @@
 	for i := range events {
 		r.take(&events[i])
 	}
-	r.pollDue()
 	if r.kick || r.now-r.swept >= r.sweepGap {
 		r.sweep()
 	}
-	r.arm()
+	r.arm(r.pollDue())
 	actions, r.acts = r.acts, nil
 	return actions
 }
@@ -288,19 +287,23 @@
 
 // ---- polls and what servers tell
 
-// pollDue sends the polls whose own timers have come (step 1).
-func (r *Router) pollDue() {
+// pollDue sends the polls whose own timers have come (step 1), and tells when the next one will.
+func (r *Router) pollDue() (next time.Duration) {
 	if r.now >= r.askAt {
 		r.acts = append(r.acts, Action{Kind: ActionSubscribe})
 		r.askAt = math.MaxInt64
 	}
+	next = r.askAt
 	for _, g := range r.order {
 		for _, s := range g.members {
 			if r.cfg.Probing && !s.polling && r.now >= s.nextPoll {
 				r.poll(s)
+			} else if r.cfg.Probing && !s.polling {
+				next = min(next, s.nextPoll)
 			}
 		}
 	}
+	return next
 }
 
 func (r *Router) poll(s *server) {
@@ -346,16 +349,16 @@
 }
 
 func (r *Router) report(s *server, rep *Report) {
-	if !rep.Valid || !rep.HasPosition {
-		return
-	}
 	at := r.cfg.Origin + rep.Position
-	s.stands(at, r.now)
-	if rep.HasRole && rep.Primary {
+	switch {
+	case !rep.Valid || !rep.HasPosition:
+		return
+	case rep.HasRole && rep.Primary:
 		r.claims(s, at)
-	} else if rep.HasRole && s.group.primary == s && at > s.group.claim {
+	case rep.HasRole && s.group.primary == s && at > s.group.claim:
 		s.group.primary = nil
 	}
+	s.stands(at, r.now)
 }
 
 // stands keeps the highest position told, and when.
@@ -368,8 +371,9 @@
 // note takes what an answer tells. The position of a write's answer is its commit, rounded up.
 func (r *Router) note(s *server, e *Event, write bool) {
 	at := r.now - r.cfg.Round
-	if e.Position > 0 || e.Report.HasPosition {
-		r.postpone(s)
+	if (e.Position > 0 || e.Report.HasPosition) && s.group.primary != nil && s.nextPoll > r.now {
+		// It tells what a poll would, and polls of many routers are dear. With no primary none is put off.
+		s.nextPoll = max(s.nextPoll, min(r.now+r.idle, s.polledAt+pollCap*r.idle))
 	}
 	if e.Position > 0 {
 		at = r.cfg.Origin + e.Position
@@ -384,8 +388,7 @@
 	case RoleReplica:
 		// It was no primary at some time since the send. Positions in answers are cut to milliseconds, so
 		// they alone could look older than the claim they end.
-		at = max(at, r.now-e.Age)
-		if e.Outcome == OutcomeMiss && write {
+		if at = max(at, r.now-e.Age); e.Outcome == OutcomeMiss && write {
 			at = r.now
 		}
 		s.denied = max(s.denied, at)
@@ -397,14 +400,6 @@
 	r.report(s, &e.Report)
 }
 
-// postpone puts a poll off by an interval, to the cap at most, when an answer has just told what it would.
-// Polls of many routers are dear; while work may wait for a primary none is put off.
-func (r *Router) postpone(s *server) {
-	if s.group.primary != nil && s.nextPoll > r.now {
-		s.nextPoll = max(s.nextPoll, min(r.now+r.idle, s.polledAt+pollCap*r.idle))
-	}
-}
-
 // claims names s primary as of a time. A primary's position is the present, so positions order the
 // claims of all servers by age: an older one never overrules a newer one.
 func (r *Router) claims(s *server, at time.Duration) {
@@ -431,15 +426,16 @@
 func (r *Router) request(e *Event) {
 	if r.open[e.Request] != nil {
 		return
-	}
-	if e.Class < 0 || e.Class >= len(r.cfg.Classes) {
+	} else if e.Class < 0 || e.Class >= len(r.cfg.Classes) {
 		r.acts = append(r.acts, Action{Kind: ActionReject, Request: e.Request})
 		return
 	}
 	q := &request{id: e.Request, class: &r.cfg.Classes[e.Class], group: r.groupOf(e.Group), key: e.Key,
 		arrived: r.now, deadline: e.Deadline, after: -1}
-	if q.class.Need == NeedSession {
-		q.need = r.sessionNeed(e)
+	if q.class.Need == NeedSession && r.cfg.RouterTokens {
+		q.need = max(r.floor, r.sessions[e.Key])
+	} else if q.class.Need == NeedSession && e.SinceWrite > 0 {
+		q.need = r.now - e.SinceWrite
 	}
 	r.open[q.id] = q
 	if r.now >= r.lastCall(q) {
@@ -457,16 +453,6 @@
 	r.place(q)
 }
 
-func (r *Router) sessionNeed(e *Event) time.Duration {
-	if commit, ok := r.sessions[e.Key]; ok {
-		return commit
-	}
-	if e.SinceWrite > 0 && !r.cfg.RouterTokens {
-		return r.now - e.SinceWrite
-	}
-	return r.floor
-}
-
 // place sends q to its server, if there is one that may have it now.
 func (r *Router) place(q *request) bool {
 	if !r.maySend(q) {
@@ -534,17 +520,11 @@
 
 // maySend is the ledger's one say on whether a further attempt is legal for the class.
 func (r *Router) maySend(q *request) bool {
-	switch {
-	case q.done || q.streamed || q.sends >= r.cfg.TryLimit || r.now >= q.deadline:
-		return false
-	case q.out > 0 && !r.cfg.ParallelTries:
+	if q.done || q.streamed || q.sends >= r.cfg.TryLimit || r.now >= q.deadline || q.out > 0 && !r.cfg.ParallelTries {
 		return false
-	case q.out == 0 && !q.ran, q.class.Effect == Safe:
-		return true
-	case q.class.Effect == Keyed:
-		return r.now-q.since < q.class.Window-2*r.cfg.Round
 	}
-	return false
+	return q.out == 0 && !q.ran || q.class.Effect == Safe ||
+		q.class.Effect == Keyed && r.now-q.since < q.class.Window-2*r.cfg.Round
 }
 
 // strays tells whether a resend would leave the servers that discard repeats; the group is always the same.
@@ -569,13 +549,12 @@
 		}
 		return p
 	}
-	if s := r.best(q, r.proven); s != nil {
-		return s
+	s := r.best(q, r.proven)
+	if s == nil && r.cfg.Behind != BehindServe && !q.missed {
+		s = r.best(q, r.hopeful)
 	}
-	if r.cfg.Behind != BehindServe && !q.missed {
-		if s := r.best(q, r.hopeful); s != nil {
-			return s
-		}
+	if s != nil {
+		return s
 	}
 	if p == nil || p == q.last || r.proving(q) || q.group.unheard() || !r.takes(p, q) || !r.fallsBack(q) {
 		return nil
@@ -662,13 +641,10 @@
 
 // proven tells whether a told position suffices; what a server may have applied since does not count.
 func (r *Router) proven(s *server, q *request) bool {
-	switch q.class.Need {
-	case NeedBounded:
+	if q.class.Need == NeedBounded {
 		return s.position >= r.now-q.class.Bound && s.position > 0
-	case NeedSession:
-		return s.position >= q.need
 	}
-	return true
+	return q.class.Need != NeedSession || s.position >= q.need
 }
 
 // takes tells whether a server is active and has room.
@@ -704,7 +680,7 @@
 func (r *Router) patience(s *server) time.Duration {
 	patience := max(time.Duration(patienceFactor*s.group.latency), 10*r.cfg.Round)
 	if len(s.out) == 1 {
-		patience *= lonePatience
+		return patience * lonePatience
 	}
 	return patience
 }
@@ -758,12 +734,10 @@
 
 func (r *Router) outcome(e *Event) {
 	q := r.open[e.Request]
-	s := r.servers[e.Server]
-	if s != nil {
+	if s := r.servers[e.Server]; s != nil {
 		r.landed(s, q, e)
 	}
-	r.kick = true
-	if q == nil {
+	if r.kick = true; q == nil {
 		return
 	}
 	q.out--
@@ -855,11 +829,12 @@
 // missing books an answer that did not come. A part may be lost with connections, on links or at a server
 // that hangs, and tells nothing of load; where most are missing, queues eat them.
 func (r *Router) missing(s *server, q *request) {
-	g, pace := q.pool(), 1.0
+	g := q.pool()
 	if g.missing += missWeight * (1 - g.missing); g.missing > 0.5 {
-		pace = paceCut
+		r.cut(s, q, fullCut, paceCut)
+	} else {
+		r.cut(s, q, fullCut, 1)
 	}
-	r.cut(s, q, fullCut, pace)
 }
 
 // pool is the pool that a request belongs to.
@@ -890,9 +865,9 @@
 	a := Action{Kind: ActionFail, Request: q.id}
 	if q.mayReject() {
 		a.Kind = ActionReject
-		if r.cfg.RetryAfter {
-			a.After = r.cfg.MaxRetryAfter/2 + r.spread(r.cfg.MaxRetryAfter/2)/2
-		}
+	}
+	if q.mayReject() && r.cfg.RetryAfter {
+		a.After = r.cfg.MaxRetryAfter/2 + r.spread(r.cfg.MaxRetryAfter/2)/2
 	}
 	r.acts = append(r.acts, a)
 	r.close(q)
@@ -912,7 +887,15 @@
 // sweep looks after requests that wait: for a server, for an answer, or for the end.
 func (r *Router) sweep() {
 	r.swept, r.kick = r.now, false
-	r.prune()
+	if r.now-r.pruned > forget {
+		r.pruned = r.now
+		for key, commit := range r.sessions {
+			if commit < r.now-forget {
+				r.floor = max(r.floor, commit)
+				delete(r.sessions, key)
+			}
+		}
+	}
 	var held []*request
 	r.queue = slices.DeleteFunc(r.queue, func(q *request) bool { return q.done })
 	for _, q := range r.queue {
@@ -927,7 +910,13 @@
 		}
 	}
 	slices.Reverse(held) // newest first: in a queue that cannot all be served, the oldest is soonest late
-	slices.SortStableFunc(held, func(a, b *request) int { return cmp.Compare(r.worth(b), r.worth(a)) })
+	worth := func(q *request) float64 {
+		if r.now-q.arrived > q.class.Target {
+			return q.class.Worth * q.class.LateWorth
+		}
+		return q.class.Worth
+	}
+	slices.SortStableFunc(held, func(a, b *request) int { return cmp.Compare(worth(b), worth(a)) })
 	for _, q := range held {
 		if !r.place(q) && q.class.Need <= NeedFresh && (q.group.primary == nil || !q.group.primary.polled) {
 			r.hurry(q.group, r.interval) // no backoff while work waits for a primary
@@ -935,13 +924,6 @@
 	}
 }
 
-func (r *Router) worth(q *request) float64 {
-	if r.now-q.arrived > q.class.Target {
-		return q.class.Worth * q.class.LateWorth
-	}
-	return q.class.Worth
-}
-
 // lastCall is when a request that no server has is given up: one mean latency before an answer could no
 // longer earn anything.
 func (r *Router) lastCall(q *request) time.Duration {
@@ -972,31 +954,9 @@
 	}
 }
 
-// prune forgets old sessions.
-func (r *Router) prune() {
-	if r.now-r.pruned <= forget {
-		return
-	}
-	r.pruned = r.now
-	for key, commit := range r.sessions {
-		if commit < r.now-forget {
-			r.floor = max(r.floor, commit)
-			delete(r.sessions, key)
-		}
-	}
-}
-
 // ---- time
 
-func (r *Router) arm() {
-	next := r.askAt
-	for _, g := range r.order {
-		for _, s := range g.members {
-			if r.cfg.Probing && !s.polling {
-				next = min(next, s.nextPoll)
-			}
-		}
-	}
+func (r *Router) arm(next time.Duration) {
 	if len(r.open) > 0 {
 		next = min(next, r.now+r.sweepGap)
 	}
