--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,8 +32,7 @@
 	nearTarget     = 0.5             // share of the target at which an answer counts as near it
 	fallbackShare  = 0.6             // part of the primary's limit open to reads that replicas could serve
 	writeShare     = 2.0             // part of the primary's limit open to writes
-	patienceFactor = 4.5             // a server is silent after this many mean latencies without an answer
-	lonePatience   = 2               // patience is this much longer with a server's only request
+	patienceFactor = 8.0             // a server is silent after this many mean latencies without an answer
 	latencyWeight  = 0.05            // weight of a new answer in the mean latency
 	retryShare     = 0.05            // retry budget earned by each first attempt
 	retryBurst     = 20.0            // most retry budget kept
@@ -99,9 +98,8 @@
 	toldAt, started    time.Duration
 	position, heardAt  time.Duration // the highest told, and when
 	denied             time.Duration // when it last said that it is no primary
-	polled, heard      bool          // answered a poll since it last failed; its first poll has ended
-	polling            bool
-	reset, unreached   bool // a connection broke, or none could be had; no poll since
+	polled, polling    bool          // answered a poll since it last failed; one is out
+	reset, unreached   bool          // a connection broke, or none could be had; no poll since
 	polledAt, nextPoll time.Duration
 	fails              int
 	out                []flight
@@ -237,8 +235,7 @@
 		return
 	case s == nil:
 		g := r.groupOf(e.Group)
-		s = &server{id: e.Server, group: g, credit: r.rng.Float64(), limit: r.startLimit(), polled: !r.cfg.Probing,
-			heard: !r.cfg.Probing}
+		s = &server{id: e.Server, group: g, credit: r.rng.Float64(), limit: r.startLimit(), polled: !r.cfg.Probing}
 		s.nextPoll = r.now + time.Duration(r.rng.Float64()*float64(r.idle-r.interval))
 		r.servers[s.id] = s
 		g.members = append(g.members, s)
@@ -318,7 +315,11 @@
 	}
 	s.polling = false
 	if e.Outcome == OutcomeOK {
-		r.recover(s)
+		// What looked like the death of its process starts slowly: the list says so too, but seconds late. A broken
+		// connection alone is no death, or a link that cuts some would cost warm servers.
+		if s.fails >= failureLimit || s.reset && s.fails > 0 {
+			s.started, s.limit, s.credit = max(s.started, r.now), r.startLimit(), r.rng.Float64()
+		}
 		if s.unreached && s.fails == 0 {
 			r.scarce = r.now + regain
 		}
@@ -331,7 +332,6 @@
 	} else if s.fails++; s.fails >= failureLimit {
 		s.polled = false
 	}
-	s.heard = s.heard || s.polled || s.fails >= failureLimit
 	wait := r.idle
 	if s.fails > 0 {
 		wait = min(time.Duration(1+s.fails)*r.interval, pollCap*r.idle)
@@ -339,15 +339,6 @@
 	s.nextPoll = r.now + wait + time.Duration(pollJitter*r.rng.Float64()*float64(min(wait, r.idle)))
 }
 
-// recover starts a server slowly that comes back from what looked like the death of its process. The
-// list says so too, but seconds late; by then a crowd could have pushed the cold server over. A broken
-// connection alone is no death: a link that cuts connections now and then must not cost the warm server.
-func (r *Router) recover(s *server) {
-	if s.fails >= failureLimit || s.reset && s.fails > 0 {
-		s.started, s.limit, s.credit = max(s.started, r.now), r.startLimit(), r.rng.Float64()
-	}
-}
-
 func (r *Router) report(s *server, rep *Report) {
 	at := r.cfg.Origin + rep.Position
 	switch {
@@ -446,7 +437,7 @@
 	g := q.pool()
 	g.allow = min(g.allow+g.pace, 2)
 	for _, s := range q.group.members {
-		if !s.heard {
+		if s.polledAt == 0 {
 			s.nextPoll = r.now // the first polls of many routers are spread, but for work that waits
 		}
 	}
@@ -493,13 +484,12 @@
 	idle := r.now - s.answered
 	if s.answered == 0 || len(s.out) > 0 {
 		return 0
+	} else if r.reap == 0 || idle < r.reap || r.now-r.reapedAt > regain { // later it may have passed
+		return idle
 	}
-	if r.reap > 0 && idle >= r.reap && r.now-r.reapedAt <= regain { // later it may have passed
-		r.acts = append(r.acts, Action{Kind: ActionDisconnect, Server: s.id})
-		s.conns = 0
-		return 0
-	}
-	return idle
+	r.acts = append(r.acts, Action{Kind: ActionDisconnect, Server: s.id})
+	s.conns = 0
+	return 0
 }
 
 // lost tells whether q's silent attempt was the first on a long idle connection: that tells of the
@@ -553,12 +543,9 @@
 	if s == nil && r.cfg.Behind != BehindServe && !q.missed {
 		s = r.best(q, r.hopeful)
 	}
-	if s != nil {
+	if s != nil || p == nil || p == q.last || r.proving(q) || !r.takes(p, q) || !r.fallsBack(q) {
 		return s
 	}
-	if p == nil || p == q.last || r.proving(q) || q.group.unheard() || !r.takes(p, q) || !r.fallsBack(q) {
-		return nil
-	}
 	return p
 }
 
@@ -582,7 +569,10 @@
 // the read that needs it is cheaper than timers that run for nothing. It hurts when reports are older than
 // the bound: the read then goes to the primary one poll later.
 func (r *Router) proving(q *request) bool {
-	if !r.cfg.Probing || r.cfg.Behind != BehindServe || q.class.Need == NeedAny {
+	first := func(s *server) bool { return s.heardAt == 0 && s.fails == 0 } // until then it is not known who qualifies
+	if !r.cfg.Probing || slices.ContainsFunc(q.group.members, first) {
+		return r.cfg.Probing
+	} else if r.cfg.Behind != BehindServe || q.class.Need == NeedAny {
 		return false
 	}
 	for ; q.asked < proofPolls; q.asked++ {
@@ -599,12 +589,6 @@
 		func(s *server) bool { return s.polling && s.polledAt == q.askedAt })
 }
 
-// unheard tells whether a member's first poll is still out: which replicas qualify is not known yet, and
-// a restarted router must not send all that it holds to the primary.
-func (g *group) unheard() bool {
-	return slices.ContainsFunc(g.members, func(s *server) bool { return !s.heard })
-}
-
 // inTurn orders by outstanding requests, ties in turn. While connections are refused, open ones go first:
 // that keeps a small router on the few servers that it is connected to.
 func (r *Router) inTurn(a, b *server) int {
@@ -675,14 +659,9 @@
 	return len(s.out) > 0 && r.now-max(s.answered, s.out[0].sent) > r.patience(s)
 }
 
-// patience is how long a server may go without an answer. One request alone proves less than several: it may
-// just be a long one, and starting it anew elsewhere would make it late.
+// patience is how long a server may go without an answer: a lone long request must not look like silence.
 func (r *Router) patience(s *server) time.Duration {
-	patience := max(time.Duration(patienceFactor*s.group.latency), 10*r.cfg.Round)
-	if len(s.out) == 1 {
-		return patience * lonePatience
-	}
-	return patience
+	return max(time.Duration(patienceFactor*s.group.latency), 10*r.cfg.Round)
 }
 
 // warmEnough tells whether a server is warm or has credit for a send. Guards against all routers together
@@ -704,8 +683,6 @@
 func (r *Router) credit(s *server, q *request) {
 	if r.warmth(s) < 1 {
 		s.credit--
-	}
-	if r.warmth(s) < 1 || q.class.Need <= NeedFresh {
 		return
 	}
 	warm := 0.0
@@ -715,7 +692,7 @@
 		}
 	}
 	for _, m := range s.group.members {
-		if w := r.warmth(m); w < 1 && m != s.group.primary {
+		if w := r.warmth(m); w < 1 && m != s.group.primary && q.class.Need > NeedFresh {
 			m.credit = min(m.credit+w/max(warm, 1), 2)
 		}
 	}
@@ -802,8 +779,7 @@
 	if age > q.class.Target {
 		r.cut(s, q, limitCut, paceCut)
 		return
-	}
-	if float64(age) > nearTarget*float64(q.class.Target) {
+	} else if float64(age) > nearTarget*float64(q.class.Target) {
 		r.cut(s, q, limitCut, 1)
 		return
 	}
