--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -16,66 +15,63 @@
 
 // Tuned values. None comes from a deployment; times are derived from the start settings or observed.
 const (
-	failureLimit   = 2               // failed polls in a row until a server is down (step 1)
-	pollJitter     = 0.4             // random part of a poll's wait, in intervals (step 1)
-	pollCap        = 5               // longest wait between polls, in intervals (step 1)
-	pollCrowd      = 4               // routers that may poll a server within one interval; more stretch their timers
-	proofPolls     = 2               // polls hurried for a read that no told position suits
-	startLimit     = 16.0            // outstanding requests, of all routers, at a server that is not known yet
-	paceCut        = 0.8             // the pace's factor after a refusal for want of room, or no answer in time
-	paceGrowth     = 0.1             // growth of the pace by an answer in time, as a share of it
-	missWeight     = 0.15            // weight of a new answer in the share that is missing
-	leastPace      = 10.0            // requests, of all routers, below which the pace does not fall
-	limitCut       = 0.9             // the limit's factor after an answer near its target
-	limitGrowth    = 0.05            // most growth of a limit by one answer, as a share of it
-	fullCut        = 0.6             // the limit's factor after a refusal for want of room, or no answer in time
-	nearTarget     = 0.5             // share of the target at which an answer counts as near it
-	fallbackShare  = 0.6             // part of the primary's limit open to reads that replicas could serve
-	writeShare     = 2.0             // part of the primary's limit open to writes
-	patienceFactor = 8.0             // a server is silent after this many mean latencies without an answer
-	latencyWeight  = 0.05            // weight of a new answer in the mean latency
-	retryShare     = 0.05            // retry budget earned by each first attempt
-	retryBurst     = 20.0            // most retry budget kept
-	regain         = 5 * time.Second // a server that failed an attempt is passed over for others
-	forget         = 60 * time.Second
+	failureLimit   = 2    // failed polls in a row until a server is down (step 1)
+	pollJitter     = 0.4  // random part of a poll's wait, in intervals (step 1)
+	pollCap        = 5    // longest wait between polls, in intervals (step 1)
+	pollCrowd      = 4    // routers that may poll a server within one interval; more stretch their timers
+	proofPolls     = 2    // polls hurried for a read that no told position suits
+	startLimit     = 16.0 // outstanding requests, of all routers, at a server that is not known yet
+	paceCut        = 0.8  // the pace's factor after a refusal for want of room, or no answer in time
+	paceGrowth     = 0.1  // growth of the pace by an answer in time, as a share of it
+	missWeight     = 0.15 // weight of a new answer in the share that is missing
+	leastPace      = 10.0 // requests, of all routers, below which the pace does not fall
+	limitCut       = 0.9  // the limit's factor after an answer near its target
+	limitGrowth    = 0.05 // most growth of a limit by one answer, as a share of it
+	fullCut        = 0.6  // the limit's factor after a refusal for want of room, or no answer in time
+	nearTarget     = 0.5  // share of the target at which an answer counts as near it
+	fallbackShare  = 0.6  // part of the primary's limit open to reads that replicas could serve
+	writeShare     = 2.0  // part of the primary's limit open to writes
+	patienceFactor = 8.0  // a server is silent after this many mean latencies without an answer
+	latencyWeight  = 0.05 // weight of a new answer in the mean latency
+	retryShare     = 0.05 // retry budget earned by each first attempt
+	retryBurst     = 20.0 // most retry budget kept
+
+	regain = 5 * time.Second // how long what was learned of connections holds
+	forget = 60 * time.Second
 )
 
 // Router makes the decisions of one driver. It is not safe for concurrent use.
 type Router struct {
-	cfg      Config
-	rng      *rand.Rand
-	now      time.Duration
-	acts     []Action
-	servers  map[ServerID]*server
-	groups   map[int]*group
-	order    []*group               // groups in order of first mention
-	open     map[RequestID]*request // not answered, or with attempts out
-	queue    []*request             // open requests in order of arrival
-	sessions map[uint64]time.Duration
-	floor    time.Duration // the newest commit among forgotten sessions
-	budget   float64       // for resends
-	interval time.Duration // between polls where work waits for them
-	idle     time.Duration // between polls where answers or nothing need them
-	reap     time.Duration // connections idle for longer are taken for dropped
-	reapedAt time.Duration // when that was learned
-	scarce   time.Duration // until when servers are taken to accept few connections
-	kick     bool          // something changed that may let held requests go
+	cfg            Config
+	rng            *rand.Rand
+	now            time.Duration
+	acts           []Action
+	servers        map[ServerID]*server
+	groups         map[int]*group
+	order          []*group               // groups in order of first mention
+	open           map[RequestID]*request // not answered, or with attempts out
+	queue          []*request             // open requests in order of arrival
+	sessions       map[uint64]time.Duration
+	floor          time.Duration // the newest commit among forgotten sessions
+	budget         float64       // for resends
+	interval, idle time.Duration // between polls: where work waits; where answers or nothing need them
+	reap, reapedAt time.Duration // connections idle for longer are taken for dropped; when that was learned
+	scarce         time.Duration // until when servers are taken to accept few connections
+	kick           bool          // something changed that may let held requests go
 
 	sweepGap, swept, pruned, askAt, armed time.Duration
 	turn, token                           uint64
 }
 
 type group struct {
-	members []*server // by ID
-	primary *server   // last named by the newest poll or answer
-	claim   time.Duration
-	named   time.Duration // when the newest poll that named the primary was sent
-	latency float64       // mean of answers, ns
-	pools   [3]pool       // of the primary's own work, of reads, and of reads at the primary
+	members      []*server     // by ID
+	primary      *server       // last named by the newest poll or answer
+	claim, named time.Duration // its newest claim; when the newest poll that named it was sent
+	latency      float64       // mean of answers, ns
+	pools        [3]pool       // of the primary's own work, of reads, and of reads at the primary
 }
 
-// pool is what a group's requests of one kind share when no server's limit can fall further: the part of
-// them that is sent.
+// pool is what a group's requests of one kind share when no limit can fall further: the part of them sent.
 type pool struct {
 	pace    float64
 	allow   float64 // first attempts that may go now
@@ -98,6 +94,7 @@
 	toldAt, started    time.Duration
 	position, heardAt  time.Duration // the highest told, and when
 	denied             time.Duration // when it last said that it is no primary
+	dropped            bool          // its drain was told before it went
 	polled, polling    bool          // answered a poll since it last failed; one is out
 	reset, unreached   bool          // a connection broke, or none could be had; no poll since
 	polledAt, nextPoll time.Duration
@@ -134,7 +131,7 @@
 // New returns a router that knows nothing yet. An unusable Config is an error.
 func New(cfg Config, seed uint64) (*Router, error) {
 	if len(cfg.Classes) == 0 {
-		return nil, errors.New("balance: no classes")
+		return nil, fmt.Errorf("balance: no classes")
 	}
 	least := cfg.Classes[0].Target
 	for _, c := range cfg.Classes {
@@ -160,8 +157,7 @@
 	return r, nil
 }
 
-// Step takes a batch of events, all at one clock, and appends the actions to take, in order. A clock
-// before an earlier one counts as the latest seen.
+// Step takes a batch of events, all at one clock, which may not go back, and appends the actions in order.
 func (r *Router) Step(now time.Duration, events []Event, actions []Action) []Action {
 	r.now, r.acts = max(now, r.now), actions
 	for i := range events {
@@ -188,9 +184,7 @@
 	case EventOutcome:
 		r.outcome(e)
 	case EventAborted:
-		if q := r.open[e.Request]; q != nil {
-			r.close(q)
-		}
+		r.close(r.open[e.Request])
 	case EventPoll:
 		r.polledBy(e)
 	case EventTimer:
@@ -200,14 +194,12 @@
 	}
 }
 
-// ---- lists
-
 func (r *Router) list(e *Event) {
+	if e.List == ListFailed && r.cfg.AskList {
+		r.log("list out of reach, asking again")
+		r.askAt = r.now + r.spread(r.cfg.AskWithin/5)
+	}
 	if e.List == ListFailed {
-		if r.cfg.AskList {
-			r.log("list out of reach, asking again")
-			r.askAt = r.now + r.spread(r.cfg.AskWithin/5)
-		}
 		return
 	}
 	seen := map[ServerID]bool{}
@@ -227,15 +219,17 @@
 
 func (r *Router) entry(e *Entry) {
 	s := r.servers[e.Server]
+	if s != nil && s.dropped && e.Started > s.started {
+		s = nil
+	}
 	switch {
-	case s == nil && e.Life == LifeGone:
-		return
-	case e.Life == LifeGone:
+	case e.Life == LifeGone || s != nil && s.dropped:
 		r.gone(s)
 		return
 	case s == nil:
 		g := r.groupOf(e.Group)
-		s = &server{id: e.Server, group: g, credit: r.rng.Float64(), limit: r.startLimit(), polled: !r.cfg.Probing}
+		s = &server{id: e.Server, group: g, credit: r.rng.Float64(), limit: r.startLimit(),
+			polled: !r.cfg.Probing}
 		s.nextPoll = r.now + time.Duration(r.rng.Float64()*float64(r.idle-r.interval))
 		r.servers[s.id] = s
 		g.members = append(g.members, s)
@@ -261,11 +255,13 @@
 
 // gone drops a server. Where only draining binds, a list that merely lacks it proves nothing.
 func (r *Router) gone(s *server) {
-	if r.cfg.SoftRemoval && s.life != LifeDraining {
+	if s == nil || s.life == LifeGone || r.cfg.SoftRemoval && s.life != LifeDraining {
 		return
 	}
-	delete(r.servers, s.id)
-	s.life, s.toldAt = LifeGone, r.now
+	if s.dropped = s.life == LifeDraining; !s.dropped {
+		delete(r.servers, s.id)
+	}
+	s.life = LifeGone
 	s.group.members = slices.DeleteFunc(s.group.members, func(m *server) bool { return m == s })
 	if s.group.primary == s {
 		s.group.primary = nil
@@ -282,8 +278,6 @@
 	return g
 }
 
-// ---- polls and what servers tell
-
 // pollDue sends the polls whose own timers have come (step 1), and tells when the next one will.
 func (r *Router) pollDue() (next time.Duration) {
 	if r.now >= r.askAt {
@@ -310,13 +304,11 @@
 
 func (r *Router) polledBy(e *Event) {
 	s := r.servers[e.Server]
-	if s == nil {
+	if s == nil || s.dropped {
 		return
 	}
-	s.polling = false
-	if e.Outcome == OutcomeOK {
-		// What looked like the death of its process starts slowly: the list says so too, but seconds late. A broken
-		// connection alone is no death, or a link that cuts some would cost warm servers.
+	if s.polling = false; e.Outcome == OutcomeOK {
+		// After what looked like a death it starts slowly: the list is late. A broken connection is no death.
 		if s.fails >= failureLimit || s.reset && s.fails > 0 {
 			s.started, s.limit, s.credit = max(s.started, r.now), r.startLimit(), r.rng.Float64()
 		}
@@ -352,7 +344,6 @@
 	s.stands(at, r.now)
 }
 
-// stands keeps the highest position told, and when.
 func (s *server) stands(at, now time.Duration) {
 	if at > s.position {
 		s.position, s.heardAt = at, now
@@ -377,8 +368,7 @@
 	case RolePrimary:
 		r.claims(s, at)
 	case RoleReplica:
-		// It was no primary at some time since the send. Positions in answers are cut to milliseconds, so
-		// they alone could look older than the claim they end.
+		// It was no primary at some time since the send; positions in answers, cut to milliseconds, look older.
 		if at = max(at, r.now-e.Age); e.Outcome == OutcomeMiss && write {
 			at = r.now
 		}
@@ -391,8 +381,7 @@
 	r.report(s, &e.Report)
 }
 
-// claims names s primary as of a time. A primary's position is the present, so positions order the
-// claims of all servers by age: an older one never overrules a newer one.
+// claims names s primary as of a time. A primary's position is the present, so positions order all claims.
 func (r *Router) claims(s *server, at time.Duration) {
 	g := s.group
 	if at <= s.denied || at <= g.claim {
@@ -405,15 +394,12 @@
 	}
 }
 
-// hurry has a group polled within a time, whatever its backoff.
 func (r *Router) hurry(g *group, within time.Duration) {
 	for _, s := range g.members {
 		s.nextPoll = min(s.nextPoll, r.now+within)
 	}
 }
 
-// ---- requests
-
 func (r *Router) request(e *Event) {
 	if r.open[e.Request] != nil {
 		return
@@ -469,8 +455,7 @@
 	s.out = append(s.out, flight{q.id, q.sends, r.now, r.freshen(s)})
 	r.acts = append(r.acts, Action{Kind: ActionTry, Request: q.id, Server: s.id})
 	q.sends, q.out, q.last, q.sent, q.pulled = q.sends+1, q.out+1, s, r.now, false
-	r.turn++
-	s.turn = r.turn
+	r.turn, s.turn = r.turn+1, r.turn+1
 	if q.class.Need > NeedFresh && s == q.group.primary {
 		q.group.pools[2].allow--
 	}
@@ -478,8 +463,7 @@
 	return true
 }
 
-// freshen tells how long the connection for a send to s has been idle, and closes connections idle for so
-// long that requests on them were lost before.
+// freshen tells how long s's connection has been idle, and closes it if requests were lost on such before.
 func (r *Router) freshen(s *server) time.Duration {
 	idle := r.now - s.answered
 	if s.answered == 0 || len(s.out) > 0 {
@@ -492,9 +476,8 @@
 	return 0
 }
 
-// lost tells whether q's silent attempt was the first on a long idle connection: that tells of the
-// connection, not of the server. It guards against connections dropped unseen, by servers or on the way; a
-// hung server costs one more attempt, on a new connection, before it is left.
+// lost tells whether q's silent attempt was the first on a long idle connection. Guards against connections
+// dropped unseen, on any way; a hung server costs one more attempt, on a new connection, before it is left.
 func (r *Router) lost(s *server, q *request) bool {
 	i := slices.IndexFunc(s.out, func(f flight) bool { return f.id == q.id && f.attempt == q.sends-1 })
 	if i < 0 || s.out[i].idle < r.interval || r.now < r.scarce {
@@ -510,7 +493,8 @@
 
 // maySend is the ledger's one say on whether a further attempt is legal for the class.
 func (r *Router) maySend(q *request) bool {
-	if q.done || q.streamed || q.sends >= r.cfg.TryLimit || r.now >= q.deadline || q.out > 0 && !r.cfg.ParallelTries {
+	if q.done || q.streamed || q.sends >= r.cfg.TryLimit || r.now >= q.deadline ||
+		q.out > 0 && !r.cfg.ParallelTries {
 		return false
 	}
 	return q.out == 0 && !q.ran || q.class.Effect == Safe ||
@@ -564,12 +548,11 @@
 
 func (p *pool) admits() bool { return p.pace >= 1 || p.allow >= 1 }
 
-// proving hurries polls of replicas for a read that no told position suits, and tells whether one is still
-// out. With many routers the timers and answers of each are too far apart to prove freshness; a poll for
-// the read that needs it is cheaper than timers that run for nothing. It hurts when reports are older than
-// the bound: the read then goes to the primary one poll later.
+// proving hurries polls for a read that no told position suits, and tells whether one is still out. Timers
+// and answers of many routers are too far apart to prove freshness. It hurts when reports are older than the
+// bound: the read then goes to the primary one poll later.
 func (r *Router) proving(q *request) bool {
-	first := func(s *server) bool { return s.heardAt == 0 && s.fails == 0 } // until then it is not known who qualifies
+	first := func(s *server) bool { return s.heardAt == 0 && s.fails == 0 } // its first poll is not back
 	if !r.cfg.Probing || slices.ContainsFunc(q.group.members, first) {
 		return r.cfg.Probing
 	} else if r.cfg.Behind != BehindServe || q.class.Need == NeedAny {
@@ -604,16 +587,16 @@
 func (r *Router) best(q *request, fit func(*server, *request) bool) *server {
 	var best *server
 	for _, s := range q.group.members {
-		if s != q.group.primary && s != q.last && fit(s, q) && r.takes(s, q) && (best == nil || r.inTurn(s, best) < 0) {
+		if s != q.group.primary && s != q.last && fit(s, q) && r.takes(s, q) &&
+			(best == nil || r.inTurn(s, best) < 0) {
 			best = s
 		}
 	}
 	return best
 }
 
-// hopeful tells whether a replica that went on at the pace of the log since it was last heard could have
-// what a read needs by the end of its wait. Guards against lags of seconds, from any cause, that turn each
-// read into a wait and a miss. It hurts when a replica catches up faster; its next answer then mends that.
+// hopeful tells whether a replica at the pace of the log could have what a read needs by the end of its wait.
+// Guards against lags of seconds that turn each read into a miss; hurts when one catches up faster.
 func (r *Router) hopeful(s *server, q *request) bool {
 	need := q.need
 	if q.class.Need == NeedBounded {
@@ -641,8 +624,7 @@
 		r.now-s.toldAt < r.cfg.DrainGrace-2*r.cfg.Round
 }
 
-// room tells whether a server may hold one more. While connections are refused, waiting for one in use is
-// quicker than opening one.
+// room tells whether a server may hold one more; one in use is awaited rather than a dear connection opened.
 func (r *Router) room(s *server, q *request) bool {
 	share := 1.0
 	if q.class.Need == NeedWrite {
@@ -650,11 +632,11 @@
 	} else if q.class.Need > NeedFresh && s == s.group.primary {
 		share = fallbackShare
 	}
-	return float64(len(s.out)) < max(1, s.limit*share) && (r.now >= r.scarce || s.conns == 0 || len(s.out) < s.conns)
+	return float64(len(s.out)) < max(1, s.limit*share) &&
+		(r.now >= r.scarce || s.conns == 0 || len(s.out) < s.conns)
 }
 
-// silent tells whether a server keeps requests without answering any. Covers hangs, pauses and cut links
-// before any time-out is due. It hurts when a lone long request looks like silence.
+// silent tells whether a server keeps requests without answering any: hangs, pauses and cut links.
 func (r *Router) silent(s *server) bool {
 	return len(s.out) > 0 && r.now-max(s.answered, s.out[0].sent) > r.patience(s)
 }
@@ -664,11 +646,11 @@
 	return max(time.Duration(patienceFactor*s.group.latency), 10*r.cfg.Round)
 }
 
-// warmEnough tells whether a server is warm or has credit for a send. Guards against all routers together
-// pushing a cold server over, however many and unequal they are: see credit.
+// warmEnough tells whether a server is warm or has credit: all routers together must not push it over.
 func (r *Router) warmEnough(s *server, q *request) bool {
 	share := r.warmth(s)
-	if s == s.group.primary && share < 1 && q.class.Need <= NeedFresh && !q.counted && r.now-q.arrived < r.cfg.Fall {
+	if share < 1 && s == s.group.primary && q.class.Need <= NeedFresh && !q.counted &&
+		r.now-q.arrived < r.cfg.Fall {
 		// Nothing else takes these. What waited longer does not count: a backlog would come at once.
 		q.counted = true
 		s.credit += share * max(1, r.cfg.TipMultiple/2)
@@ -676,10 +658,9 @@
 	return share >= 1 || s.credit >= 1
 }
 
-// credit books a send. Each read sent to a warm replica gives its cold peers their least warmth's part of one
-// warm peer's share. Credit starts at random below one, so the sends of routers that each have less than one
-// add up, in the mean, to that same part of a warm server's load: nobody starves and no sum grows with the
-// number of routers. It could hurt where warm peers are sent more than they can do.
+// credit books a send. A read sent to a warm replica gives cold peers their least warmth's part of a warm
+// peer's share. Credit starts at random below one, so the sends of any number of routers with less than one
+// each add up, in the mean, to that part of a warm server's load. Hurts where warm peers are overloaded.
 func (r *Router) credit(s *server, q *request) {
 	if r.warmth(s) < 1 {
 		s.credit--
@@ -707,8 +688,6 @@
 	return r.cfg.ColdFrom + (1-r.cfg.ColdFrom)*float64(max(age, 0))/float64(r.cfg.RampTime)
 }
 
-// ---- outcomes
-
 func (r *Router) outcome(e *Event) {
 	q := r.open[e.Request]
 	if s := r.servers[e.Server]; s != nil {
@@ -717,8 +696,7 @@
 	if r.kick = true; q == nil {
 		return
 	}
-	q.out--
-	if e.Outcome == OutcomeOK && q.class.Need == NeedWrite && r.cfg.RouterTokens {
+	if q.out--; e.Outcome == OutcomeOK && q.class.Need == NeedWrite && r.cfg.RouterTokens {
 		commit := r.now
 		if e.Position > 0 {
 			commit = r.cfg.Origin + e.Position
@@ -752,15 +730,21 @@
 	case OutcomeOK, OutcomeError, OutcomeFull, OutcomeMiss:
 		s.answered, s.conns = r.now, max(s.conns, len(s.out)+1)
 		r.note(s, e, q != nil && q.class.Need == NeedWrite)
-		if e.Outcome == OutcomeOK {
+		if q != nil && e.Outcome == OutcomeOK {
 			r.learn(s, q, e.Age)
-		} else if e.Outcome == OutcomeFull && q != nil {
+		} else if q != nil && e.Outcome == OutcomeFull {
 			r.cut(s, q, fullCut, paceCut)
 		}
 	case OutcomeTimeout, OutcomeCancelled:
-		if q != nil && float64(e.Age) > nearTarget*float64(q.class.Target) {
-			r.missing(s, q) // one that was given little time tells nothing
+		if q == nil || float64(e.Age) <= nearTarget*float64(q.class.Target) {
+			return // one that was given little time tells nothing
 		}
+		// Some answers are lost on the way or with a server that hangs; where most are, queues eat them.
+		g, pace := q.pool(), 1.0
+		if g.missing += missWeight * (1 - g.missing); g.missing > 0.5 {
+			pace = paceCut
+		}
+		r.cut(s, q, fullCut, pace)
 	case OutcomeReset:
 		s.reset, s.polled, s.nextPoll = true, !r.cfg.Probing, r.now
 	case OutcomeConnectFailed:
@@ -769,13 +753,9 @@
 	}
 }
 
-// learn moves the mean latency and the server's limit. Answers near their target say that its queue is
-// as long as it may be; requests beyond the limit wait here, where the worthiest goes first.
+// learn moves mean latency, limit and pace. Answers near their target say that the queue is long enough.
 func (r *Router) learn(s *server, q *request, age time.Duration) {
 	s.group.latency += latencyWeight * (float64(age) - s.group.latency)
-	if q == nil {
-		return
-	}
 	if age > q.class.Target {
 		r.cut(s, q, limitCut, paceCut)
 		return
@@ -802,29 +782,16 @@
 	}
 }
 
-// missing books an answer that did not come. A part may be lost with connections, on links or at a server
-// that hangs, and tells nothing of load; where most are missing, queues eat them.
-func (r *Router) missing(s *server, q *request) {
-	g := q.pool()
-	if g.missing += missWeight * (1 - g.missing); g.missing > 0.5 {
-		r.cut(s, q, fullCut, paceCut)
-	} else {
-		r.cut(s, q, fullCut, 1)
-	}
-}
-
-// pool is the pool that a request belongs to.
 func (q *request) pool() *pool {
-	if q.class.Need <= NeedFresh {
+	switch {
+	case q.class.Need <= NeedFresh:
 		return &q.group.pools[0]
-	}
-	if q.last != nil && q.last == q.group.primary {
+	case q.last != nil && q.last == q.group.primary:
 		return &q.group.pools[2]
 	}
 	return &q.group.pools[1]
 }
 
-// again decides on a request none of whose attempts is out.
 func (r *Router) again(q *request) {
 	if !r.maySend(q) || q.ran && r.budget < 1 {
 		r.finish(q)
@@ -842,24 +809,23 @@
 	if q.mayReject() {
 		a.Kind = ActionReject
 	}
-	if q.mayReject() && r.cfg.RetryAfter {
+	if r.cfg.RetryAfter && q.mayReject() {
 		a.After = r.cfg.MaxRetryAfter/2 + r.spread(r.cfg.MaxRetryAfter/2)/2
 	}
 	r.acts = append(r.acts, a)
 	r.close(q)
 }
 
-// close ends a request. It stays known while attempts are out: a write whose client has left still binds
-// its session's reads once its answer has come.
+// close ends a request; it stays known while attempts are out, as a late answer still binds its session.
 func (r *Router) close(q *request) {
-	q.done = true
-	if q.out == 0 {
+	if q == nil {
+		return
+	}
+	if q.done = true; q.out == 0 {
 		delete(r.open, q.id)
 	}
 }
 
-// ---- sweep
-
 // sweep looks after requests that wait: for a server, for an answer, or for the end.
 func (r *Router) sweep() {
 	r.swept, r.kick = r.now, false
@@ -900,8 +866,7 @@
 	}
 }
 
-// lastCall is when a request that no server has is given up: one mean latency before an answer could no
-// longer earn anything.
+// lastCall is when a request that no server has is given up: one mean latency before it would earn nothing.
 func (r *Router) lastCall(q *request) time.Duration {
 	end := q.deadline
 	if q.class.LateWorth == 0 {
@@ -914,7 +879,7 @@
 // rescue tries a request elsewhere whose server has gone silent; a write only where its connection was lost.
 func (r *Router) rescue(q *request) {
 	s := q.last
-	if s == nil || q.pulled || !r.maySend(q) && r.cfg.ParallelTries || r.now-max(q.sent, s.answered) <= r.patience(s) ||
+	if s == nil || q.pulled || r.now-max(q.sent, s.answered) <= r.patience(s) ||
 		!slices.ContainsFunc(s.out, func(f flight) bool { return f.id == q.id }) {
 		return
 	}
@@ -930,8 +895,6 @@
 	}
 }
 
-// ---- time
-
 func (r *Router) arm(next time.Duration) {
 	if len(r.open) > 0 {
 		next = min(next, r.now+r.sweepGap)
@@ -940,8 +903,7 @@
 	if next >= r.now+time.Hour || r.armed != 0 && r.armed <= next {
 		return
 	}
-	r.token++
-	r.armed = next
+	r.token, r.armed = r.token+1, next
 	r.acts = append(r.acts, Action{Kind: ActionTimer, Token: r.token, After: next - r.now})
 }
 
