--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -352,3 +352,201 @@
 		t.Errorf("a cold server was sent %d, each of its warm peers %.0f", cold, mean)
 	}
 }
+
+// trickle makes one of many routers, three servers ready, and serves it one read so that connections are open.
+func trickle(t *testing.T, parallel bool) *rig {
+	cfg := baseConfig()
+	cfg.Routers, cfg.ParallelTries = 40, parallel
+	g := newRig(t, cfg, 3)
+	g.ready(3)
+	for id := RequestID(900); id < 902; id++ {
+		g.ask(id, anyRead)
+		g.now += 10 * ms
+		g.end(id, 0, g.tries[id][0], OutcomeOK, RoleReplica)
+	}
+	return g
+}
+
+func (g *rig) count(kind ActionKind) (n int) {
+	for _, a := range g.last {
+		if a.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+func TestConnectionsDroppedUnseenAreClosedBeforeTheNextSend(t *testing.T) {
+	g := trickle(t, true)
+	g.now += 3 * time.Second
+	g.ask(1, anyRead)
+	if g.count(ActionDisconnect) != 0 {
+		t.Error("an idle connection was closed though nothing was lost on one")
+	}
+	g.run(time.Second) // no answer: a copy goes to the other replica
+	if len(g.tries[1]) != 2 {
+		t.Fatalf("lost read went to %v, want a copy elsewhere", g.tries[1])
+	}
+	g.end(1, 1, g.tries[1][1], OutcomeOK, RoleReplica)
+	g.now += 4 * time.Second
+	g.ask(2, anyRead)
+	if g.count(ActionDisconnect) != 1 {
+		t.Error("a connection idle for longer than one that lost a read was used again")
+	}
+}
+
+func TestKeyedWriteLostWithItsConnectionIsSentAgain(t *testing.T) {
+	g := trickle(t, true)
+	g.ask(1, keyed)
+	g.end(1, 0, 1, OutcomeOK, RolePrimary)
+	g.now += 3 * time.Second
+	g.report(1, true, 5*ms)
+	g.ask(2, keyed)
+	g.run(800 * ms)
+	g.wantTries(2, 1, 1)
+}
+
+func TestRefusedConnectionsKeepARouterOnItsOpenOnes(t *testing.T) {
+	g := trickle(t, true)
+	last := g.tries[901][0] // in turn the other replica would be next
+	g.ask(1, write)
+	g.end(1, 0, 1, OutcomeConnectFailed, RoleUnknown)
+	g.report(1, true, 5*ms) // it runs: connections are scarce
+	for id := RequestID(2); id < 6; id++ {
+		g.ask(id, anyRead)
+		g.wantTries(id, last)
+		g.end(id, 0, last, OutcomeOK, RoleReplica)
+	}
+}
+
+func TestLateAnswersLetASmallRouterSendAPart(t *testing.T) {
+	g := trickle(t, false)
+	sent := 0
+	for id := RequestID(1); id <= 60; id++ {
+		g.ask(id, anyRead)
+		if n := len(g.tries[id]); n > 0 {
+			sent++
+			g.now += 450 * ms
+			g.step(Event{Kind: EventOutcome, Request: id, Server: g.tries[id][0], Outcome: OutcomeOK, Role: RoleReplica,
+				Settled: true, Age: 450 * ms, Position: g.now - ms - g.r.cfg.Origin})
+		} else {
+			g.run(450 * ms)
+			g.wantFinal(id, ActionReject)
+		}
+	}
+	if sent > 40 || sent < 3 {
+		t.Errorf("%d of 60 reads were sent though every answer was late", sent)
+	}
+}
+
+func TestLostAnswersAloneDoNotSlowASmallRouter(t *testing.T) {
+	g := trickle(t, false)
+	for id := RequestID(1); id <= 30; id++ {
+		g.ask(id, anyRead)
+		if len(g.tries[id]) == 0 {
+			t.Fatalf("read %d was held: lost answers were taken for load", id)
+		}
+		o := OutcomeOK
+		if id%4 == 0 {
+			o = OutcomeTimeout
+		}
+		g.now += 30 * ms
+		g.step(Event{Kind: EventOutcome, Request: id, Server: g.tries[id][0], Outcome: o, Role: RoleReplica,
+			Settled: true, Age: 300 * ms, Position: g.now - ms - g.r.cfg.Origin})
+		g.now += 2 * time.Second
+	}
+}
+
+func TestReadsOfLaggingReplicasLeaveThePrimaryToWrites(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Routers = 100
+	toPrimary := 0
+	for seed := range uint64(100) {
+		r, err := New(cfg, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g := &rig{t: t, r: r, now: 100 * time.Second, final: map[RequestID]ActionKind{},
+			tries: map[RequestID][]ServerID{}, polled: map[ServerID]int{}}
+		list := Event{Kind: EventList, List: ListCached}
+		for i := range 5 {
+			list.Entries = append(list.Entries, Entry{Server: ServerID(i + 1)})
+		}
+		g.step(list)
+		g.report(1, true, 10*ms)
+		for s := ServerID(2); s <= 5; s++ {
+			g.report(s, false, 5*time.Second)
+		}
+		g.ask(1, bounded)
+		g.run(100 * ms)
+		toPrimary += len(g.tries[1])
+	}
+	if toPrimary > 50 || toPrimary == 0 {
+		t.Errorf("%d of 100 routers sent their first unproven read to the primary, want about one member's share", toPrimary)
+	}
+}
+
+func TestWithdrawsOnlyWithBudgetForAnotherAttempt(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Routers = 400 // the first budget is shared: less than one is left for each
+	g := newRig(t, cfg, 3)
+	g.ready(3)
+	g.ask(1, anyRead)
+	for range 120 {
+		g.run(5 * ms)
+		if g.count(ActionWithdraw) > 0 {
+			t.Fatal("a read was withdrawn though no further attempt could be paid")
+		}
+	}
+}
+
+func TestDrainOnceToldBindsThoughAnOldListSaysReady(t *testing.T) {
+	g := newRig(t, baseConfig(), 2)
+	g.ready(2)
+	list := func(kind ListKind, e ...Entry) { g.step(Event{Kind: EventList, List: kind, Entries: e}) }
+	list(ListDelta, Entry{Server: 2, Life: LifeDraining})
+	list(ListFull, Entry{Server: 1}, Entry{Server: 2})
+	g.ask(1, anyRead)
+	g.wantTries(1, 1)
+	list(ListDelta, Entry{Server: 2, Life: LifeGone})
+	list(ListFull, Entry{Server: 1}, Entry{Server: 2})
+	g.report(2, false, 5*ms)
+	g.ask(2, anyRead)
+	g.wantTries(2, 1)
+	list(ListDelta, Entry{Server: 2, Started: g.now})
+	g.run(g.r.cfg.RampTime + time.Second)
+	g.ready(2)
+	g.ask(3, anyRead)
+	g.wantTries(3, 2)
+}
+
+func TestServersLeftOutStayInUseWhereOnlyDrainingBinds(t *testing.T) {
+	cfg := baseConfig()
+	cfg.SoftRemoval = true
+	g := newRig(t, cfg, 2)
+	g.ready(2)
+	g.step(Event{Kind: EventList, List: ListFull}) // an empty list proves nothing
+	g.ask(1, anyRead)
+	g.wantTries(1, 2)
+	g.step(Event{Kind: EventList, Entries: []Entry{{Server: 2, Life: LifeDraining}}})
+	g.now += time.Second
+	g.ask(2, anyRead)
+	g.wantTries(2, 1)
+}
+
+func TestListCallThatFailsIsMadeAgain(t *testing.T) {
+	cfg := baseConfig()
+	cfg.AskList, cfg.AskWithin = true, 10*time.Second
+	g := newRig(t, cfg, 2)
+	if g.count(ActionSubscribe) != 1 {
+		t.Fatal("no list was asked for at the start")
+	}
+	g.step(Event{Kind: EventList, List: ListFailed})
+	for range 1000 {
+		g.run(5 * ms)
+		if g.count(ActionSubscribe) > 0 {
+			return
+		}
+	}
+	t.Error("a failed list call was not made again within five seconds")
+}
