--- a/balance/balance.go
+++ b/balance/balance.go
@@ -756,6 +756,8 @@
 // learn moves mean latency, limit and pace. Answers near their target say that the queue is long enough.
 func (r *Router) learn(s *server, q *request, age time.Duration) {
 	s.group.latency += latencyWeight * (float64(age) - s.group.latency)
+	g := q.pool()
+	g.missing -= missWeight * g.missing
 	if age > q.class.Target {
 		r.cut(s, q, limitCut, paceCut)
 		return
@@ -763,8 +765,6 @@
 		r.cut(s, q, limitCut, 1)
 		return
 	}
-	g := q.pool()
-	g.missing -= missWeight * g.missing
 	g.pace = min(1, g.pace*(1+paceGrowth))
 	if float64(len(s.out)+1) >= s.limit/2 {
 		s.limit += min(1/s.limit, limitGrowth*s.limit)
