--- a/balance/balance.go
+++ b/balance/balance.go
@@ -149,7 +149,7 @@
 	idle := interval * time.Duration(max(cfg.Routers, pollCrowd)) / pollCrowd
 	r := &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed)), servers: map[ServerID]*server{},
 		groups: map[int]*group{}, open: map[RequestID]*request{}, sessions: map[uint64]time.Duration{},
-		interval: interval, idle: idle, sweepGap: max(cfg.Round, least/25), askAt: math.MaxInt64,
+		interval: interval, idle: idle, sweepGap: max(cfg.Round, least/25), askAt: math.MaxInt64, turn: math.MaxUint32,
 		budget: retryBurst * float64(interval) / float64(idle)}
 	if cfg.AskList {
 		r.askAt = math.MinInt64
@@ -229,7 +229,7 @@
 	case s == nil:
 		g := r.groupOf(e.Group)
 		s = &server{id: e.Server, group: g, credit: r.rng.Float64(), limit: r.startLimit(),
-			polled: !r.cfg.Probing}
+			polled: !r.cfg.Probing, turn: r.rng.Uint64N(r.turn)} // drawn: routers must not all begin at one
 		s.nextPoll = r.now + time.Duration(r.rng.Float64()*float64(r.idle-r.interval))
 		r.servers[s.id] = s
 		g.members = append(g.members, s)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -550,3 +550,24 @@
 	}
 	t.Error("a failed list call was not made again within five seconds")
 }
+
+func TestRoutersBeginAtDifferentServers(t *testing.T) {
+	first := map[ServerID]int{}
+	for seed := range uint64(60) {
+		r, err := New(baseConfig(), seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g := &rig{t: t, r: r, now: 100 * time.Second, final: map[RequestID]ActionKind{},
+			tries: map[RequestID][]ServerID{}, polled: map[ServerID]int{}}
+		g.step(Event{Kind: EventList, List: ListCached, Entries: []Entry{{Server: 1}, {Server: 2}, {Server: 3}, {Server: 4}}})
+		g.ready(4)
+		g.ask(1, anyRead)
+		first[g.tries[1][0]]++
+	}
+	for s := ServerID(2); s <= 4; s++ {
+		if first[s] < 8 || first[s] > 35 {
+			t.Errorf("%d of 60 routers sent their first read to server %d of three", first[s], s)
+		}
+	}
+}
