--- a/balance/balance.go
+++ b/balance/balance.go
@@ -149,8 +149,8 @@
 	idle := interval * time.Duration(max(cfg.Routers, pollCrowd)) / pollCrowd
 	r := &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed)), servers: map[ServerID]*server{},
 		groups: map[int]*group{}, open: map[RequestID]*request{}, sessions: map[uint64]time.Duration{},
-		interval: interval, idle: idle, sweepGap: max(cfg.Round, least/25), askAt: math.MaxInt64, turn: math.MaxUint32,
-		budget: retryBurst * float64(interval) / float64(idle)}
+		interval: interval, idle: idle, sweepGap: max(cfg.Round, least/25), askAt: math.MaxInt64,
+		turn: math.MaxUint32, budget: retryBurst * float64(interval) / float64(idle)}
 	if cfg.AskList {
 		r.askAt = math.MinInt64
 	}
