--- a/balance/balance.go
+++ b/balance/balance.go
@@ -87,24 +87,24 @@
 }
 
 type server struct {
-	id                 ServerID
-	group              *group
-	zone               int
-	life               Life
-	toldAt, started    time.Duration
-	position, heardAt  time.Duration // the highest told, and when
-	denied             time.Duration // when it last said that it is no primary
-	dropped            bool          // its drain was told before it went
-	polled, polling    bool          // answered a poll since it last failed; one is out
-	reset, unreached   bool          // a connection broke, or none could be had; no poll since
-	polledAt, nextPoll time.Duration
-	fails              int
-	out                []flight
-	limit              float64
-	cutAt, answered    time.Duration
-	conns              int     // connections that it is taken to have open
-	credit             float64 // sends it may have while cold
-	turn               uint64
+	id                      ServerID
+	group                   *group
+	zone                    int
+	life                    Life
+	toldAt, started         time.Duration
+	position, heardAt       time.Duration // the highest told, and when
+	denied                  time.Duration // when it last said that it is no primary
+	dropped                 bool          // its drain was told before it went
+	polled, polling         bool          // answered a poll since it last failed; one is out
+	reset, unreached        bool          // a connection broke, or none could be had; no poll since
+	polledAt, nextPoll      time.Duration
+	fails                   int
+	out                     []flight
+	limit                   float64
+	cutAt, answered, failed time.Duration // failed: when an attempt last went unanswered
+	conns                   int           // connections that it is taken to have open
+	credit                  float64       // sends it may have while cold
+	turn                    uint64
 }
 
 type request struct {
@@ -123,9 +123,8 @@
 	last              *server
 	sent              time.Duration // when its last attempt went
 	fallback, counted bool          // among the reads at the primary; in the credit of a cold primary
-	full              bool          // its last attempt was refused for want of room
 
-	pulled, missed, streamed, done bool
+	pulled, missed, full, streamed, done bool
 }
 
 // New returns a router that knows nothing yet. An unusable Config is an error.
@@ -143,8 +142,7 @@
 			least = min(least, c.Bound)
 		}
 	}
-	cfg.Round = max(cfg.Round, time.Millisecond)
-	cfg.TryLimit = max(cfg.TryLimit, 1)
+	cfg.Round, cfg.TryLimit = max(cfg.Round, time.Millisecond), max(cfg.TryLimit, 1)
 	interval := max(least, 10*cfg.Round)
 	idle := interval * time.Duration(max(cfg.Routers, pollCrowd)) / pollCrowd
 	r := &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed)), servers: map[ServerID]*server{},
@@ -258,10 +256,9 @@
 	if s == nil || s.life == LifeGone || r.cfg.SoftRemoval && s.life != LifeDraining {
 		return
 	}
-	if s.dropped = s.life == LifeDraining; !s.dropped {
+	if s.life, s.dropped = LifeGone, s.life == LifeDraining; !s.dropped {
 		delete(r.servers, s.id)
 	}
-	s.life = LifeGone
 	s.group.members = slices.DeleteFunc(s.group.members, func(m *server) bool { return m == s })
 	if s.group.primary == s {
 		s.group.primary = nil
@@ -578,9 +575,12 @@
 	if r.now < r.scarce {
 		return cmp.Or(cmp.Compare(b.idleConns(), a.idleConns()), cmp.Compare(b.answered, a.answered))
 	}
-	return cmp.Or(cmp.Compare(len(a.out), len(b.out)), cmp.Compare(a.turn, b.turn))
+	return cmp.Or(cmp.Compare(r.doubt(a), r.doubt(b)), cmp.Compare(len(a.out), len(b.out)), cmp.Compare(a.turn, b.turn))
 }
 
+// doubt is how long a server that left a request unanswered is passed over, until it answers one.
+func (r *Router) doubt(s *server) time.Duration { return max(0, s.failed+regain-r.now) }
+
 func (s *server) idleConns() int { return max(0, min(1, s.conns-len(s.out))) }
 
 // best picks the first in turn among the replicas that fit and have room.
@@ -728,7 +728,7 @@
 	s.out = slices.DeleteFunc(s.out, func(f flight) bool { return f.id == e.Request && f.attempt == e.Attempt })
 	switch e.Outcome {
 	case OutcomeOK, OutcomeError, OutcomeFull, OutcomeMiss:
-		s.answered, s.conns = r.now, max(s.conns, len(s.out)+1)
+		s.answered, s.failed, s.conns = r.now, 0, max(s.conns, len(s.out)+1)
 		r.note(s, e, q != nil && q.class.Need == NeedWrite)
 		if q != nil && e.Outcome == OutcomeOK {
 			r.learn(s, q, e.Age)
@@ -741,6 +741,7 @@
 		}
 		// Some answers are lost on the way or with a server that hangs; where most are, queues eat them.
 		g, pace := q.pool(), 1.0
+		s.failed = r.now
 		if g.missing += missWeight * (1 - g.missing); g.missing > 0.5 {
 			pace = paceCut
 		}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -574,3 +574,22 @@
 		}
 	}
 }
+
+func TestServerThatLeftARequestUnansweredIsPassedOver(t *testing.T) {
+	g := trickle(t, false)
+	g.ask(1, anyRead)
+	hung := g.tries[1][0]
+	g.now += 400 * ms
+	g.step(Event{Kind: EventOutcome, Request: 1, Server: hung, Outcome: OutcomeTimeout, Settled: true, Age: 400 * ms})
+	for id := RequestID(2); id < 7; id++ {
+		g.ask(id, anyRead)
+		if len(g.tries[id]) != 1 || g.tries[id][0] == hung {
+			t.Errorf("read %d went to %v, not past the server that does not answer", id, g.tries[id])
+		}
+		g.now += 100 * ms
+		g.end(id, 0, g.tries[id][0], OutcomeOK, RoleReplica)
+	}
+	g.now += 6 * time.Second
+	g.ask(8, anyRead)
+	g.wantTries(8, hung)
+}
