--- a/balance/balance.go
+++ b/balance/balance.go
@@ -115,13 +115,12 @@
 	arrived, deadline time.Duration
 	need              time.Duration // position that a session read must see
 	sends, out, asked int           // asked: polls hurried for it
-	askedAt           time.Duration
 	ran               bool          // an ended attempt may have run
 	since             time.Duration // send of the first attempt that may have run
 	zone              int           // of its server
 	after             time.Duration // a poll sent later must name the primary
 	last              *server
-	sent              time.Duration // when its last attempt went
+	askedAt, sent     time.Duration // when polls were hurried for it; when its last attempt went
 	fallback, counted bool          // among the reads at the primary; in the credit of a cold primary
 
 	pulled, missed, full, streamed, done bool
@@ -575,7 +574,8 @@
 	if r.now < r.scarce {
 		return cmp.Or(cmp.Compare(b.idleConns(), a.idleConns()), cmp.Compare(b.answered, a.answered))
 	}
-	return cmp.Or(cmp.Compare(r.doubt(a), r.doubt(b)), cmp.Compare(len(a.out), len(b.out)), cmp.Compare(a.turn, b.turn))
+	return cmp.Or(cmp.Compare(r.doubt(a), r.doubt(b)), cmp.Compare(len(a.out), len(b.out)),
+		cmp.Compare(a.turn, b.turn))
 }
 
 // doubt is how long a server that left a request unanswered is passed over, until it answers one.
