--- a/balance/api.go
+++ b/balance/api.go
@@ -76,25 +76,25 @@
 	Origin        time.Duration // the clock time that positions count from
 	Positions     bool          // answers carry positions
 	Behind        Behind
-	CatchUpWait   time.Duration
-	RouterTokens  bool // sessions are followed by this router's own answers, not by SinceWrite
-	AskList       bool // the list comes only to those that subscribe
-	AskWithin     time.Duration
-	DrainGrace    time.Duration
-	SoftRemoval   bool // only an entry listed as draining binds
-	AnswerSlack   time.Duration
-	ColdFrom      float64
-	RampTime      time.Duration
-	TipMultiple   float64
-	Fall          time.Duration
-	Cancel        bool
-	Probing       bool
-	ParallelTries bool
-	TryLimit      int
-	RetryAfter    bool
-	MaxRetryAfter time.Duration
-	DialTimeout   time.Duration
-	ListsRole     bool // list entries show the role, late
+	CatchUpWait   time.Duration // for BehindWait
+	RouterTokens  bool          // sessions are followed by this router's own answers, not by SinceWrite
+	AskList       bool          // the list comes only to those that subscribe
+	AskWithin     time.Duration // a router that has not asked for so long counts as told; for AskList
+	DrainGrace    time.Duration // sends to a draining server end by then; 0 means at once
+	SoftRemoval   bool          // only an entry listed as draining binds
+	AnswerSlack   time.Duration // how long after the deadline a final answer still counts
+	ColdFrom      float64       // least share of its capacity that a server starts with
+	RampTime      time.Duration // a server is warm after it; 0 means servers start warm
+	TipMultiple   float64       // a cold server sent more than this multiple of its capacity
+	Fall          time.Duration // for so long falls over
+	Cancel        bool          // ActionWithdraw is allowed
+	Probing       bool          // ActionPoll is allowed; without it servers count as active
+	ParallelTries bool          // a request may have two attempts out
+	TryLimit      int           // most attempts of a request; 0 means one
+	RetryAfter    bool          // refusals may advise when to come back
+	MaxRetryAfter time.Duration // the longest such advice that is followed
+	DialTimeout   time.Duration // then an attempt ends as OutcomeConnectFailed; for information
+	ListsRole     bool          // list entries show the role, late
 }
 
 // Role is what a server says it is.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -194,3 +194,13 @@
 		}
 	})
 }
+
+func TestDisconnectIsWrittenAsTheProtocolSays(t *testing.T) {
+	var enc Encoder
+	enc.Begin()
+	enc.Action(&balance.Action{Kind: balance.ActionDisconnect, Server: 0x2354f211900a})
+	want := []byte{12, 0, 0, 0, 0x24, 0x04, 6, 0, 0, 0, 0x0a, 0x90, 0x11, 0xf2, 0x54, 0x23}
+	if got := enc.Finish(); !bytes.Equal(got, want) {
+		t.Errorf("got % x, want % x", got, want)
+	}
+}
