--- /dev/null
+++ b/driver/conns.go
@@ -0,0 +1,439 @@
+package driver
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"umberladder/balance"
+	"umberladder/position"
+)
+
+// node is one db node at one address. Another address under the same name is another node to the module.
+type node struct {
+	id     balance.ServerID
+	listed Node
+	slice  *slice
+	idle   []*conn // most recently used last
+	busy   int     // connections for requests that are not idle
+	dials  int     // of these, being opened
+	queue  []*attempt
+	prober *conn  // the connection that polls go over
+	polled bool   // the module awaits the end of a poll
+	polls  uint64 // how many were asked for
+}
+
+// connState is the life of a connection.
+type connState uint8
+
+const (
+	dialing connState = iota
+	idle
+	busy      // its exchange is awaited
+	lingering // its exchange is out and nobody awaits it
+	dead
+)
+
+type conn struct {
+	id       ConnID
+	node     *node
+	state    connState
+	probes   bool     // it is the node's prober
+	attempt  *attempt // whose exchange is out
+	sentAt   time.Duration
+	usedAt   time.Duration
+	reaped   bool // the timer of its idle time is set
+	canceled bool // a cancel was asked for: it can't be told what that will hit
+}
+
+// attemptState is the life of an attempt.
+type attemptState uint8
+
+const (
+	waiting attemptState = iota // for a connection; nothing of it was written
+	sent
+	over // its outcome was told
+)
+
+type attempt struct {
+	request *request
+	number  int
+	node    *node
+	state   attemptState
+	conn    *conn
+	began   time.Duration // when the module sent it
+	ran     bool          // it ended without proof that nothing ran
+	opened  bool          // its streamed answer began and belongs to the client
+}
+
+func (a *attempt) mayHaveRun() bool { return a.state == sent || a.ran }
+
+// holds tells whether its exchange is still out and awaited on its connection.
+func (a *attempt) holds() bool { return a.conn.state == busy && a.conn.attempt == a }
+
+// nodeOf finds or makes the node of a list entry.
+func (e *Engine) nodeOf(n Node) *node {
+	key := n.Name + "\x00" + n.Address + "\x00" + n.Slice
+	known := e.byName[key]
+	if known == nil {
+		known = &node{id: balance.ServerID(len(e.nodes) + 1), slice: e.sliceOf(n.Slice)}
+		e.byName[key] = known
+		e.nodes[known.id] = known
+	}
+	return known
+}
+
+func (e *Engine) sliceOf(name string) *slice {
+	s := e.slices[name]
+	if s == nil {
+		s = &slice{name: name, group: len(e.slices)}
+		e.slices[name] = s
+	}
+	return s
+}
+
+// named puts names into a text of the module, which knows nodes by number alone.
+func (e *Engine) named(text string) string {
+	if number, ok := strings.CutPrefix(text, "primary is now "); ok {
+		var id uint64
+		if _, err := fmt.Sscanf(number, "%x", &id); err == nil && e.nodes[balance.ServerID(id)] != nil {
+			n := e.nodes[balance.ServerID(id)]
+			return fmt.Sprintf("primary of slice %s is now %s", n.slice.name, n.listed.Name)
+		}
+	}
+	return text
+}
+
+// try starts an attempt: on an idle connection, on a new one, or in line for the next that comes free.
+func (e *Engine) try(q *request, act *balance.Action) {
+	n := e.nodes[act.Server]
+	if q == nil || n == nil {
+		return
+	}
+	a := &attempt{request: q, number: len(q.attempts), node: n, began: e.now}
+	q.attempts = append(q.attempts, a)
+	q.out++
+	if q.done || a.number >= max(1, e.cfg.Router.TryLimit) {
+		e.ended(a, balance.Event{Outcome: balance.OutcomeMoot})
+		return
+	}
+	end := q.ask.Deadline - e.cfg.AnswerMargin
+	if act.After > 0 {
+		end = min(end, e.now+act.After)
+	}
+	e.timers.set(end, func(time.Duration) { e.timeout(a) })
+	if k := len(n.idle); k > 0 {
+		c := n.idle[k-1]
+		n.idle = n.idle[:k-1]
+		n.busy++
+		e.send(c, a)
+		return
+	}
+	n.queue = append(n.queue, a)
+	e.refill(n)
+	e.timers.set(min(end, e.now+e.cfg.Router.DialTimeout), func(time.Duration) {
+		if a.state == waiting {
+			e.ended(a, balance.Event{Outcome: balance.OutcomeConnectFailed})
+		}
+	})
+}
+
+// refill opens connections for those that wait at a node, one each, up to the pool's size.
+func (e *Engine) refill(n *node) {
+	for n.dials < len(n.queue) && n.busy+len(n.idle) < e.cfg.PoolSize {
+		n.busy++
+		n.dials++
+		e.dial(n, false)
+	}
+}
+
+func (e *Engine) dial(n *node, probes bool) *conn {
+	e.lastConn++
+	c := &conn{id: e.lastConn, node: n, probes: probes}
+	e.conns[c.id] = c
+	e.cmds = append(e.cmds, Command{Kind: CommandDial, Conn: c.id, Node: n.listed.Name, Address: n.listed.Address})
+	e.timers.set(e.now+e.cfg.Router.DialTimeout, func(time.Duration) {
+		if c.state == dialing {
+			e.lost(c, true)
+			e.undialed(c, &DialError{Err: fmt.Errorf("no connection within %v", e.cfg.Router.DialTimeout)})
+		}
+	})
+	return c
+}
+
+func (e *Engine) dialed(c *conn, failure *DialError) {
+	if c == nil || c.state != dialing {
+		return
+	}
+	if failure != nil {
+		e.lost(c, false)
+		e.undialed(c, failure)
+		return
+	}
+	if c.probes {
+		c.state = idle
+		e.askProber(c)
+		return
+	}
+	c.node.dials--
+	e.release(c)
+}
+
+// undialed tells who waited longest at the node that its connection failed.
+func (e *Engine) undialed(c *conn, failure *DialError) {
+	n := c.node
+	e.cmds = append(e.cmds, Command{Kind: CommandLog, Node: n.listed.Name, Text: "connection failed: " + failure.Err.Error()})
+	outcome := balance.OutcomeConnectFailed
+	if failure.Full {
+		outcome = balance.OutcomeFull
+	}
+	if c.probes {
+		e.pollEnded(n, balance.Event{Outcome: outcome})
+		return
+	}
+	if len(n.queue) > 0 {
+		e.ended(n.queue[0], balance.Event{Outcome: outcome})
+	}
+	e.refill(n)
+}
+
+// release makes a connection free: for whoever waits at its node, or idle.
+func (e *Engine) release(c *conn) {
+	n := c.node
+	if c.state, c.attempt = idle, nil; len(n.queue) > 0 {
+		e.send(c, n.queue[0])
+		return
+	}
+	n.busy--
+	c.usedAt = e.now
+	n.idle = append(n.idle, c)
+	if !c.reaped {
+		c.reaped = true
+		e.reapAt(c, e.now+e.cfg.IdleClose)
+	}
+}
+
+// reapAt closes a connection that by then was not used for the idle time, or looks again later.
+func (e *Engine) reapAt(c *conn, at time.Duration) {
+	e.timers.set(at, func(time.Duration) {
+		switch due := c.usedAt + e.cfg.IdleClose; {
+		case c.state == dead:
+		case c.state == idle && e.now >= due:
+			e.lost(c, true)
+		default:
+			e.reapAt(c, max(due, e.now+e.cfg.IdleClose/4))
+		}
+	})
+}
+
+func (e *Engine) send(c *conn, a *attempt) {
+	a.node.queue = slices.DeleteFunc(a.node.queue, func(w *attempt) bool { return w == a })
+	c.state, c.attempt, c.sentAt = busy, a, e.now
+	a.state, a.conn = sent, c
+	e.cmds = append(e.cmds, Command{Kind: CommandSend, Conn: c.id, Request: a.request.id, Node: a.node.listed.Name,
+		Write: a.request.class.Need == balance.NeedWrite})
+}
+
+// lost takes a connection out of the books, and closes it where that is up to this side.
+func (e *Engine) lost(c *conn, close bool) {
+	if c.state == dead {
+		return
+	}
+	n := c.node
+	switch {
+	case c.probes:
+		if n.prober == c {
+			n.prober = nil
+		}
+	case c.state == idle:
+		n.idle = slices.DeleteFunc(n.idle, func(i *conn) bool { return i == c })
+	default:
+		n.busy--
+		if c.state == dialing {
+			n.dials--
+		}
+	}
+	c.state = dead
+	delete(e.conns, c.id)
+	if close {
+		e.cmds = append(e.cmds, Command{Kind: CommandClose, Conn: c.id})
+	}
+}
+
+// disconnect closes a node's idle connections.
+func (e *Engine) disconnect(n *node) {
+	if n == nil {
+		return
+	}
+	for _, c := range slices.Clone(n.idle) {
+		e.lost(c, true)
+	}
+}
+
+// timeout ends an attempt that was not answered in time. Its connection can't be used before its answer came.
+func (e *Engine) timeout(a *attempt) {
+	switch a.state {
+	case waiting:
+		e.ended(a, balance.Event{Outcome: balance.OutcomeConnectFailed})
+	case sent:
+		if !a.opened {
+			e.abandon(a)
+			e.ended(a, balance.Event{Outcome: balance.OutcomeTimeout})
+		}
+	}
+}
+
+func (e *Engine) withdraw(a *attempt) {
+	if a.state == over || a.opened {
+		return
+	}
+	if a.state == sent {
+		e.abandon(a)
+	}
+	e.ended(a, balance.Event{Outcome: balance.OutcomeCancelled})
+}
+
+// abandon lets the connection of an attempt linger until its answer came, or its time is up.
+func (e *Engine) abandon(a *attempt) {
+	c := a.conn
+	if c.state != busy {
+		return
+	}
+	c.state = lingering
+	if e.cfg.CancelWork && a.request.class.Effect == balance.Safe {
+		e.cancel(c)
+	}
+	e.timers.set(e.now+e.cfg.Linger, func(time.Duration) {
+		if c.state == lingering {
+			e.lost(c, true)
+			e.refill(c.node)
+		}
+	})
+}
+
+func (e *Engine) cancel(c *conn) {
+	if !c.canceled {
+		c.canceled = true
+		e.cmds = append(e.cmds, Command{Kind: CommandCancel, Conn: c.id})
+	}
+}
+
+// ended tells the module how an attempt ended, exactly once.
+func (e *Engine) ended(a *attempt, ev balance.Event) {
+	if a.state == over {
+		return
+	}
+	if a.state == waiting {
+		a.node.queue = slices.DeleteFunc(a.node.queue, func(w *attempt) bool { return w == a })
+	}
+	q := a.request
+	switch ev.Outcome {
+	case balance.OutcomeFull, balance.OutcomeConnectFailed, balance.OutcomeMoot, balance.OutcomeMiss:
+	default:
+		a.ran = true
+	}
+	a.state = over
+	q.out--
+	ev.Kind, ev.Request, ev.Attempt, ev.Server = balance.EventOutcome, q.id, a.number, a.node.id
+	ev.Age, ev.Settled = e.now-a.began, q.done
+	e.tell(ev)
+	e.forget(q)
+}
+
+// closed takes note of a connection that went away while nothing was out on it.
+func (e *Engine) closed(c *conn) {
+	if c == nil {
+		return
+	}
+	if c.attempt != nil || c.probes && c.state == busy {
+		e.result(c, &Result{End: EndNotSent})
+		return
+	}
+	e.lost(c, false)
+}
+
+// result takes the end of an exchange: a request's or a poll's.
+func (e *Engine) result(c *conn, r *Result) {
+	if c == nil || c.state != busy && c.state != lingering {
+		return
+	}
+	if r.Facts.Known {
+		e.learn(c.node, r.Facts, c.sentAt)
+	}
+	if c.probes {
+		e.asked(c, r)
+		return
+	}
+	a := c.attempt
+	if r.End != EndAnswered || c.canceled {
+		e.lost(c, r.End == EndAnswered)
+		e.refill(c.node)
+	} else {
+		e.release(c)
+	}
+	if a.state == sent {
+		e.settle(a, r, c.sentAt)
+	}
+}
+
+// settle ends an attempt by what its node answered, and its request if that answer stands.
+func (e *Engine) settle(a *attempt, r *Result, sentAt time.Duration) {
+	q, v := a.request, Judge(r)
+	ev := balance.Event{Outcome: v.Outcome}
+	e.facts(&ev, q, a.node, r.Facts, sentAt)
+	if v.Answers && r.Err == nil && q.class.Need != balance.NeedWrite && !e.fits(q, r.Facts, sentAt) {
+		ev.Outcome, v.Answers = balance.OutcomeMiss, false
+	}
+	switch {
+	case q.done:
+	case v.Answers:
+		e.serve(q, a, r)
+	case a.opened:
+		e.answer(q, Answer{Status: Failed, Cause: CauseCut})
+	}
+	e.ended(a, ev)
+}
+
+// serve hands the client its answer.
+func (e *Engine) serve(q *request, a *attempt, r *Result) {
+	at := r.Facts.Position
+	if !r.Facts.Known {
+		// Committed, and its place not heard: the token asks for the present until a promotion or a read
+		// at the primary tells more.
+		at = position.Position{Timeline: max(1, q.slice.clock.Timeline()), LSN: position.Unknown}
+	}
+	if r.Done && q.class.Need == balance.NeedWrite && e.cfg.DriverSessions && q.ask.Session != "" {
+		e.sessions.wrote(q.ask.Slice, q.ask.Session, at, e.now)
+	}
+	e.answer(q, e.answerOf(q, a, r, at))
+}
+
+func (e *Engine) answerOf(q *request, a *attempt, r *Result, at position.Position) Answer {
+	if q.need.LSN != position.Unknown || r.Facts.Replica {
+		at = at.Max(q.need) // else the primary's present covers what was unknown
+	}
+	return Answer{Status: Served, Token: q.ask.Token.With(q.ask.Slice, at), Node: a.node.listed.Name,
+		Hall: a.node.listed.Hall, Facts: r.Facts, Payload: r.Payload, Attempts: len(q.attempts)}
+}
+
+// opened settles whether a streamed answer may begin. If not, its connection is closed: the rest of the rows
+// would be of no use, and the attempt ends as a miss.
+func (e *Engine) opened(c *conn, r *Result) {
+	if c == nil || c.state != busy {
+		return
+	}
+	a := c.attempt
+	q := a.request
+	e.learn(c.node, r.Facts, c.sentAt)
+	if q.done || !e.fits(q, r.Facts, c.sentAt) {
+		ev := balance.Event{Outcome: balance.OutcomeMiss}
+		e.facts(&ev, q, a.node, r.Facts, c.sentAt)
+		e.lost(c, true)
+		e.ended(a, ev)
+		return
+	}
+	a.opened = true
+	e.tell(balance.Event{Kind: balance.EventOpened, Request: q.id, Attempt: a.number, Server: a.node.id, Age: e.now - a.began})
+	e.cmds = append(e.cmds, Command{Kind: CommandOpen, Conn: c.id, Request: q.id, Answer: e.answerOf(q, a, r, r.Facts.Position)})
+}
--- /dev/null
+++ b/driver/engine.go
@@ -0,0 +1,367 @@
+package driver
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"umberladder/balance"
+	"umberladder/position"
+)
+
+// Config is what an engine is told at its start. Times are durations; zero values are errors where a time is
+// needed.
+type Config struct {
+	Router         balance.Config
+	Halls          []string // the place of a hall's name is the module's zone
+	DriverSessions bool     // sessions are followed by this driver's own answers, beside tokens
+	MaxOpen        int      // requests held at once
+	PoolSize       int      // connections to one node
+	IdleClose      time.Duration
+	Linger         time.Duration // how long a connection may go on with what nobody awaits
+	PollTimeout    time.Duration
+	ClockAge       time.Duration // a poll of a replica asks the primary too if it was not heard for so long
+	AnswerMargin   time.Duration // the module's deadline lies so long before the client's
+	CancelWork     bool          // safe work that nobody awaits is ended at the node
+}
+
+func (c *Config) check() error {
+	for _, f := range []struct {
+		name string
+		ok   bool
+	}{{"MaxOpen", c.MaxOpen > 0}, {"PoolSize", c.PoolSize > 0}, {"IdleClose", c.IdleClose > 0},
+		{"PollTimeout", c.PollTimeout > 0}, {"DialTimeout", c.Router.DialTimeout > 0},
+		{"AnswerMargin", c.AnswerMargin >= 0}} {
+		if !f.ok {
+			return fmt.Errorf("driver: %s is not set", f.name)
+		}
+	}
+	return nil
+}
+
+// Engine is one driver's state. It is not safe for concurrent use.
+type Engine struct {
+	cfg      Config
+	router   *balance.Router
+	now      time.Duration
+	cmds     []Command
+	news     []balance.Event // for the module
+	acts     []balance.Action
+	timers   timers
+	requests map[RequestID]*request
+	held     int // requests without their final answer
+	nodes    map[balance.ServerID]*node
+	byName   map[string]*node
+	conns    map[ConnID]*conn
+	slices   map[string]*slice
+	sessions sessions
+	lastConn ConnID
+	until    time.Duration // when what is held must be answered; 0 while not stopping
+	stopped  bool
+}
+
+// slice is one group of a primary and its replicas.
+type slice struct {
+	name    string
+	group   int
+	clock   position.Clock
+	primary *node // that last told it is one, on the newest timeline
+}
+
+// request is one request, kept until it has its final answer and no attempt is out.
+type request struct {
+	id       RequestID
+	ask      Ask
+	class    *balance.Class
+	slice    *slice
+	need     position.Position // what a session read must see; zero for nothing
+	attempts []*attempt
+	out      int
+	done     bool // it has its final answer, or its client left
+}
+
+// New makes an engine that knows no node yet. An unusable Config is an error.
+func New(cfg Config, seed uint64) (*Engine, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	cfg.Router.RouterTokens = false // sessions reach the module as the age of what they must see
+	router, err := balance.New(cfg.Router, seed)
+	if err != nil {
+		return nil, err
+	}
+	e := &Engine{cfg: cfg, router: router, requests: map[RequestID]*request{}, nodes: map[balance.ServerID]*node{},
+		byName: map[string]*node{}, conns: map[ConnID]*conn{}, slices: map[string]*slice{}}
+	e.sessions.place = func(name string, by time.Duration) (position.Position, bool) {
+		return e.slices[name].clock.After(by)
+	}
+	return e, nil
+}
+
+// Held is how many requests have no final answer yet.
+func (e *Engine) Held() int { return e.held }
+
+// Conns is how many connections there are, being opened included.
+func (e *Engine) Conns() int { return len(e.conns) }
+
+// Wake is when Step wants to be called even if nothing happens, false for never.
+func (e *Engine) Wake() (time.Duration, bool) { return e.timers.next() }
+
+// Step takes what happened since the last call, all at one clock time, and appends the commands in order. The
+// clock must not go back; an earlier time counts as the latest seen. The zero time should lie in the past by
+// more than any time in the configuration.
+func (e *Engine) Step(now time.Duration, events []Event, cmds []Command) []Command {
+	e.now, e.cmds = max(now, e.now), cmds
+	e.timers.run(e.now)
+	for i := range events {
+		e.take(&events[i])
+	}
+	e.route()
+	if e.until > 0 && !e.stopped && e.held == 0 {
+		e.stopped = true
+		e.cmds = append(e.cmds, Command{Kind: CommandStopped})
+	}
+	cmds, e.cmds = e.cmds, nil
+	return cmds
+}
+
+func (e *Engine) take(ev *Event) {
+	switch ev.Kind {
+	case EventRequest:
+		e.request(ev)
+	case EventLeft:
+		e.left(ev.Request)
+	case EventDialed:
+		e.dialed(e.conns[ev.Conn], ev.Dial)
+	case EventResult:
+		e.result(e.conns[ev.Conn], &ev.Result)
+	case EventOpened:
+		e.opened(e.conns[ev.Conn], &ev.Result)
+	case EventClosed:
+		e.closed(e.conns[ev.Conn])
+	case EventList:
+		e.list(ev)
+	case EventStop:
+		e.stop(ev.Until)
+	}
+}
+
+// mostRounds bounds how often the module is asked again about what its own actions led to at once.
+const mostRounds = 64
+
+// route gives the module its news and carries out what it settles. Some actions end at once, as one for a
+// request that is over; the module hears of these in a further round at the same time.
+func (e *Engine) route() {
+	for round := 0; round == 0 || len(e.news) > 0; round++ {
+		if round == mostRounds {
+			e.timers.set(e.now+e.cfg.Router.Round, func(time.Duration) {})
+			return
+		}
+		news := e.news
+		e.news = nil
+		e.acts = e.router.Step(e.now, news, e.acts[:0])
+		for i := range e.acts {
+			e.act(&e.acts[i])
+		}
+	}
+}
+
+func (e *Engine) act(a *balance.Action) {
+	switch a.Kind {
+	case balance.ActionTry:
+		e.try(e.requests[a.Request], a)
+	case balance.ActionWithdraw:
+		if q := e.requests[a.Request]; q != nil && a.Attempt < len(q.attempts) {
+			e.withdraw(q.attempts[a.Attempt])
+		}
+	case balance.ActionReject:
+		e.answer(e.requests[a.Request], Answer{Status: Refused, Cause: CauseNoNode, RetryAfter: a.After})
+	case balance.ActionFail:
+		e.answer(e.requests[a.Request], Answer{Status: Failed, Cause: CauseUncertain})
+	case balance.ActionPoll:
+		e.poll(e.nodes[a.Server])
+	case balance.ActionTimer:
+		token := a.Token
+		e.timers.set(e.now+max(a.After, 0), func(time.Duration) {
+			e.tell(balance.Event{Kind: balance.EventTimer, Token: token})
+		})
+	case balance.ActionSubscribe:
+		e.cmds = append(e.cmds, Command{Kind: CommandSubscribe})
+	case balance.ActionDisconnect:
+		e.disconnect(e.nodes[a.Server])
+	case balance.ActionLog:
+		e.cmds = append(e.cmds, Command{Kind: CommandLog, Text: e.named(a.Text)})
+	}
+}
+
+func (e *Engine) tell(ev balance.Event) { e.news = append(e.news, ev) }
+
+func (e *Engine) request(ev *Event) {
+	if e.requests[ev.Request] != nil {
+		return
+	}
+	if cause := e.refuses(&ev.Ask); cause != CauseNone {
+		e.cmds = append(e.cmds, Command{Kind: CommandAnswer, Request: ev.Request, Answer: Answer{Status: Refused, Cause: cause}})
+		return
+	}
+	q := &request{id: ev.Request, ask: ev.Ask, class: &e.cfg.Router.Classes[ev.Ask.Class], slice: e.slices[ev.Ask.Slice]}
+	q.need, _ = q.ask.Token.At(q.ask.Slice)
+	if e.cfg.DriverSessions && q.ask.Session != "" {
+		q.need = q.need.Max(e.sessions.needs(q.ask.Slice, q.ask.Session))
+	}
+	e.requests[q.id] = q
+	e.held++
+	e.tell(balance.Event{Kind: balance.EventRequest, Request: q.id, Class: q.ask.Class, Group: q.slice.group,
+		Key: xxhash.Sum64String(q.ask.Session), Deadline: q.ask.Deadline - e.cfg.AnswerMargin, SinceWrite: e.since(q)})
+}
+
+// refuses tells why a request is not taken at all, CauseNone if it is.
+func (e *Engine) refuses(a *Ask) Cause {
+	switch {
+	case e.until > 0:
+		return CauseStopping
+	case a.Class < 0 || a.Class >= len(e.cfg.Router.Classes):
+		return CauseClass
+	case e.slices[a.Slice] == nil:
+		return CauseSlice
+	case e.held >= e.cfg.MaxOpen:
+		return CauseMaxOpen
+	}
+	return CauseNone
+}
+
+// since is how long ago what a session read must see was committed, at the least; 0 if it must see nothing.
+func (e *Engine) since(q *request) time.Duration {
+	if q.need.IsZero() {
+		return 0
+	}
+	by, ok := q.slice.clock.CommittedBy(q.need)
+	if !ok {
+		return 1 // the present
+	}
+	return max(1, e.now-by)
+}
+
+// left ends a request whose client is gone. What is out stays out, its connection busy, until it ends.
+func (e *Engine) left(id RequestID) {
+	q := e.requests[id]
+	if q == nil || q.done {
+		return
+	}
+	e.tell(balance.Event{Kind: balance.EventAborted, Request: id})
+	e.finish(q)
+}
+
+// answer gives the final answer, if none was given.
+func (e *Engine) answer(q *request, a Answer) {
+	if q == nil || q.done {
+		return
+	}
+	a.Attempts = len(q.attempts)
+	e.cmds = append(e.cmds, Command{Kind: CommandAnswer, Request: q.id, Answer: a})
+	e.finish(q)
+}
+
+// finish marks a request as over: what has not been sent for it never will be.
+func (e *Engine) finish(q *request) {
+	q.done = true
+	e.held--
+	for _, a := range q.attempts {
+		switch {
+		case a.state == waiting:
+			e.ended(a, balance.Event{Outcome: balance.OutcomeMoot})
+		case a.state != sent || !a.holds():
+		case a.opened:
+			e.lost(a.conn, true) // its rows would wait for a reader that is gone
+			e.ended(a, balance.Event{Outcome: balance.OutcomeCancelled})
+		case e.cfg.CancelWork && q.class.Effect == balance.Safe:
+			e.cancel(a.conn)
+		}
+	}
+	e.forget(q)
+}
+
+func (e *Engine) forget(q *request) {
+	if q.done && q.out == 0 {
+		delete(e.requests, q.id)
+	}
+}
+
+func (e *Engine) stop(until time.Duration) {
+	if e.until > 0 {
+		return
+	}
+	e.until = max(until, 1)
+	e.timers.set(until, func(time.Duration) { e.giveUp() })
+}
+
+// giveUp answers what is still held when the time to stop is up.
+func (e *Engine) giveUp() {
+	ids := make([]RequestID, 0, len(e.requests))
+	for id := range e.requests {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		q := e.requests[id]
+		if q.done {
+			continue
+		}
+		a := Answer{Status: Refused, Cause: CauseStopping}
+		if q.class.Effect != balance.Safe && slices.ContainsFunc(q.attempts, (*attempt).mayHaveRun) {
+			a = Answer{Status: Failed, Cause: CauseStopping}
+		}
+		e.tell(balance.Event{Kind: balance.EventAborted, Request: id})
+		e.answer(q, a)
+	}
+}
+
+func (e *Engine) list(ev *Event) {
+	if ev.List == balance.ListFailed {
+		e.tell(balance.Event{Kind: balance.EventList, List: balance.ListFailed})
+		return
+	}
+	entries := make([]balance.Entry, 0, len(ev.Nodes))
+	seen := map[balance.ServerID]bool{}
+	for _, n := range ev.Nodes {
+		known := e.nodeOf(n)
+		seen[known.id] = true
+		known.listed = n
+		entries = append(entries, balance.Entry{Server: known.id, Group: known.slice.group,
+			Zone: max(0, slices.Index(e.cfg.Halls, n.Hall)), Life: n.Life, Started: n.Started})
+	}
+	for _, n := range e.nodes {
+		if ev.List != balance.ListDelta && !seen[n.id] {
+			n.listed.Life = balance.LifeGone
+		}
+	}
+	e.leave()
+	e.tell(balance.Event{Kind: balance.EventList, List: ev.List, Entries: entries})
+}
+
+// leave closes the unused connections to nodes that are gone, where lacking in a list means that.
+func (e *Engine) leave() {
+	if e.cfg.Router.SoftRemoval {
+		return
+	}
+	for _, n := range e.listed() {
+		if n.listed.Life != balance.LifeGone {
+			continue
+		}
+		e.disconnect(n)
+		if c := n.prober; c != nil && c.state == idle {
+			e.lost(c, true)
+		}
+	}
+}
+
+// listed is every node there has been, in order of first mention.
+func (e *Engine) listed() []*node {
+	nodes := make([]*node, len(e.nodes))
+	for id, n := range e.nodes {
+		nodes[id-1] = n
+	}
+	return nodes
+}
--- /dev/null
+++ b/driver/event.go
@@ -0,0 +1,178 @@
+// Package driver is the engine between clients, db nodes and package balance. It does no I/O: events and the
+// time go in, commands come out, and a shell (package server on sockets, a simulator elsewhere) carries them
+// out. It reads no clock, starts no goroutine and draws no randomness but from its seed, so that the same
+// events give the same commands.
+//
+// The engine decides nothing of package balance's areas. It translates: requests and answers into the
+// module's events, the module's actions into sends, dials and answers, and log positions into times.
+package driver
+
+import (
+	"time"
+
+	"umberladder/balance"
+	"umberladder/pgwire"
+	"umberladder/position"
+	"umberladder/token"
+)
+
+// ConnID names one connection to a db node; an engine never uses one twice.
+type ConnID uint64
+
+// RequestID names one request; the shell draws it and never uses one twice.
+type RequestID = balance.RequestID
+
+// Node is one db node of the list.
+type Node struct {
+	Name    string
+	Address string // host:port
+	Slice   string
+	Hall    string
+	Life    balance.Life
+	Started time.Duration // last start of its process on the engine's clock; 0 if long ago or not told
+}
+
+// Facts is what a node told of itself in one answer.
+type Facts struct {
+	Known    bool
+	Replica  bool // in recovery
+	Position position.Position
+}
+
+// End is how an exchange on a connection ended.
+type End uint8
+
+// The ends of an exchange.
+const (
+	EndAnswered End = iota // the node answered all of it; the connection may be used again
+	EndBroken              // the connection is gone, or what came on it can't be trusted
+	EndNotSent             // the connection was gone before a byte of it was written
+)
+
+// Result is what came of one exchange.
+type Result struct {
+	End     End
+	Began   bool          // the node took the statement up: what follows may have run
+	Done    bool          // the statement ran and, if it writes, is committed; then Err is nil
+	Err     *pgwire.Error // the node's error, nil if none
+	Asking  bool          // Err is the answer to the driver's own question, not to the statement
+	Facts   Facts
+	Payload any // the shell's own; comes back with the answer
+}
+
+// EventKind tells events apart.
+type EventKind uint8
+
+// The kinds of event.
+const (
+	EventRequest EventKind = iota // Request, and Ask with all that it asks for
+	EventLeft                     // Request: its client left
+	EventDialed                   // Conn: it is up, or Err tells why not
+	EventResult                   // Conn, Result: its exchange ended
+	EventOpened                   // Conn, Result.Facts: a streamed answer is about to begin
+	EventClosed                   // Conn: it went away while nothing was out on it
+	EventList                     // List, Nodes
+	EventStop                     // take nothing new; answer what is held by Until
+)
+
+// Ask is what a request asks for.
+type Ask struct {
+	Class    int // place in the configuration
+	Slice    string
+	Session  string
+	Token    token.Token
+	Deadline time.Duration // clock time at which the client gives up
+}
+
+// DialError says why there is no connection.
+type DialError struct {
+	Full bool  // the node is up and takes no more, or not yet
+	Err  error // for the log
+}
+
+// Event is one thing that happened; Kind says which fields count.
+type Event struct {
+	Kind    EventKind
+	List    balance.ListKind
+	Request RequestID
+	Conn    ConnID
+	Ask     Ask
+	Dial    *DialError
+	Result  Result
+	Nodes   []Node
+	Until   time.Duration
+}
+
+// CommandKind tells commands apart.
+type CommandKind uint8
+
+// The kinds of command.
+const (
+	CommandDial      CommandKind = iota // open Conn to Address
+	CommandSend                         // run Request on Conn; Write says in which order to ask for facts
+	CommandAsk                          // ask on Conn for facts alone
+	CommandCancel                       // ask the node to end what Conn runs
+	CommandClose                        // close Conn, whatever is out on it
+	CommandOpen                         // the streamed answer on Conn is Request's
+	CommandAnswer                       // the final answer to Request
+	CommandSubscribe                    // send the list and its changes as EventList
+	CommandLog                          // Text for the operators
+	CommandStopped                      // nothing is held any more
+)
+
+// Status is the kind of a final answer.
+type Status uint8
+
+// The statuses of a final answer.
+const (
+	Served  Status = iota // Payload is the answer
+	Refused               // a further try is harmless
+	Failed                // no promise
+)
+
+// Cause says why a request was refused or failed.
+type Cause uint8
+
+// The causes.
+const (
+	CauseNone      Cause = iota
+	CauseNoNode          // no db node could take it in its time
+	CauseUncertain       // an attempt went out and what became of it is not known
+	CauseCut             // its streamed answer broke off
+	CauseStopping        // the driver is stopping
+	CauseClass           // its class is not configured
+	CauseSlice           // its slice is not in the list
+	CauseMaxOpen         // the driver holds as many as it may
+)
+
+// String says it in words.
+func (c Cause) String() string {
+	return [...]string{"", "no db node could take it in time", "an attempt went out and what became of it is not known",
+		"the answer broke off on its way", "this driver is stopping", "its class is not configured",
+		"its slice is not in the list", "this driver holds as many requests as it may"}[c]
+}
+
+// Answer is a final answer, or, with CommandOpen, how a streamed one begins.
+type Answer struct {
+	Status     Status
+	Cause      Cause         // of a refusal or failure
+	RetryAfter time.Duration // advice with a refusal, 0 for none
+	Token      token.Token
+	Node       string
+	Hall       string
+	Facts      Facts
+	Attempts   int
+	Payload    any
+}
+
+// Command is one thing to do, in order.
+type Command struct {
+	Kind    CommandKind
+	Conn    ConnID
+	Request RequestID
+	Node    string
+	Address string
+	Write   bool
+	Answer  Answer
+	Text    string
+}
--- /dev/null
+++ b/driver/facts.go
@@ -0,0 +1,186 @@
+package driver
+
+import (
+	"time"
+
+	"umberladder/balance"
+	"umberladder/position"
+)
+
+// poll asks a node for its role and position, over a connection of its own.
+func (e *Engine) poll(n *node) {
+	if n == nil {
+		return
+	}
+	n.polled = true
+	e.companion(n)
+	n.polls++
+	poll, began := n.polls, e.now
+	// Giving up on a poll gives up its connection: an answer to come would be taken for the next one's.
+	e.timers.set(e.now+e.cfg.PollTimeout, func(time.Duration) {
+		if !n.polled || n.polls != poll {
+			return
+		}
+		if n.prober != nil {
+			e.lost(n.prober, true)
+		}
+		e.pollEnded(n, balance.Event{Outcome: balance.OutcomeTimeout, Age: e.now - began})
+	})
+	switch c := n.prober; {
+	case c == nil:
+		n.prober = e.dial(n, true)
+	case c.state == idle:
+		e.askProber(c)
+	} // else it is at work for the clock: what that brings answers the poll too
+}
+
+// companion asks the primary of the slice too when its log was not heard lately: without a newer place to
+// compare with, what a replica has applied proves nothing new.
+func (e *Engine) companion(n *node) {
+	p := n.slice.primary
+	if p == nil || p == n || p.polled || p.prober == nil || p.prober.state != idle || p.listed.Life != balance.LifeReady {
+		return
+	}
+	if at, ok := n.slice.clock.Newest(); !ok || e.now-at > e.cfg.ClockAge {
+		e.askProber(p.prober)
+	}
+}
+
+func (e *Engine) askProber(c *conn) {
+	c.state, c.sentAt = busy, e.now
+	e.cmds = append(e.cmds, Command{Kind: CommandAsk, Conn: c.id, Node: c.node.listed.Name})
+	n := c.node
+	if n.polled {
+		return
+	}
+	at := e.now
+	e.timers.set(e.now+e.cfg.PollTimeout, func(time.Duration) {
+		if c.state == busy && c.sentAt == at && !n.polled {
+			e.lost(c, true)
+		}
+	})
+}
+
+// asked takes the answer of a prober.
+func (e *Engine) asked(c *conn, r *Result) {
+	n := c.node
+	if r.End == EndAnswered {
+		c.state, c.usedAt = idle, e.now
+	} else {
+		e.lost(c, false)
+	}
+	if !n.polled {
+		return
+	}
+	ev := balance.Event{Outcome: Judge(r).Outcome, Age: e.now - c.sentAt}
+	if ev.Outcome == balance.OutcomeOK && r.Facts.Known {
+		ev.Outcome, ev.Report = e.report(n, r.Facts, c.sentAt)
+	} else if ev.Outcome == balance.OutcomeOK {
+		ev.Outcome = balance.OutcomeError
+	}
+	e.pollEnded(n, ev)
+}
+
+func (e *Engine) pollEnded(n *node, ev balance.Event) {
+	if !n.polled {
+		return
+	}
+	n.polled = false
+	ev.Kind, ev.Server = balance.EventPoll, n.id
+	e.tell(ev)
+}
+
+// learn takes note of what a node told of itself.
+func (e *Engine) learn(n *node, f Facts, sentAt time.Duration) {
+	s := n.slice
+	if f.Replica {
+		s.clock.Seen(f.Position.Timeline)
+		if s.primary == n {
+			s.primary = nil
+		}
+		return
+	}
+	if s.clock.Primary(f.Position, sentAt, e.now) {
+		s.primary = n
+	}
+}
+
+// superseded tells whether a node that says it is primary belongs to a timeline that was left.
+func (s *slice) superseded(f Facts) bool {
+	return !f.Replica && f.Position.Timeline < s.clock.Timeline()
+}
+
+// stands is the module's position of a node: the present for a primary, what is proven for a replica.
+func (e *Engine) stands(s *slice, f Facts, sentAt time.Duration) (time.Duration, bool) {
+	switch {
+	case !f.Known || s.superseded(f):
+		return 0, false
+	case !f.Replica:
+		return sentAt - e.cfg.Router.Origin, true
+	}
+	by, ok := s.clock.AppliedBy(f.Position)
+	return by - e.cfg.Router.Origin, ok && by > e.cfg.Router.Origin
+}
+
+// report is what a poll's answer tells the module. A superseded primary counts as one that failed: it must
+// get nothing, and there is no place in time at which it stands.
+func (e *Engine) report(n *node, f Facts, sentAt time.Duration) (balance.Outcome, balance.Report) {
+	if n.slice.superseded(f) {
+		return balance.OutcomeError, balance.Report{}
+	}
+	at, ok := e.stands(n.slice, f, sentAt)
+	return balance.OutcomeOK, balance.Report{Valid: true, HasRole: true, Primary: !f.Replica, HasPosition: ok, Position: at}
+}
+
+// facts puts into an outcome what the answer told.
+func (e *Engine) facts(ev *balance.Event, q *request, n *node, f Facts, sentAt time.Duration) {
+	if !f.Known {
+		return
+	}
+	ev.Role = balance.RolePrimary
+	if f.Replica || n.slice.superseded(f) {
+		ev.Role = balance.RoleReplica
+	}
+	if !e.cfg.Router.Positions {
+		return
+	}
+	if at, ok := e.stands(n.slice, f, sentAt); ok {
+		ev.Position = at
+		if ev.Outcome == balance.OutcomeOK && q.class.Need == balance.NeedWrite {
+			ev.Position += time.Millisecond // commits are told rounded up; the module takes that off again
+		}
+	}
+}
+
+// fits tells whether a read's answer is as new as its class and token ask. The facts are those asked for
+// before the read on the same connection, so that what it saw is at least that new.
+func (e *Engine) fits(q *request, f Facts, sentAt time.Duration) bool {
+	if !f.Known || q.slice.superseded(f) || !covers(f, q.need) {
+		return false
+	}
+	switch q.class.Need {
+	case balance.NeedFresh:
+		return !f.Replica
+	case balance.NeedBounded:
+		if !f.Replica {
+			return true
+		}
+		by, ok := q.slice.clock.AppliedBy(f.Position)
+		return ok && by >= sentAt-q.class.Bound
+	}
+	return true
+}
+
+// covers tells whether a node that stands where f says has what need asks for. A place of an older timeline
+// that survived is before the promotion, and so in every member of the newer one that has come as far.
+func covers(f Facts, need position.Position) bool {
+	switch {
+	case need.IsZero():
+		return true
+	case f.Position.Timeline < need.Timeline:
+		return false
+	case need.LSN == position.Unknown:
+		return !f.Replica || f.Position.Timeline > need.Timeline
+	}
+	return f.Position.LSN >= need.LSN
+}
--- /dev/null
+++ b/pgwire/reader.go
@@ -0,0 +1,124 @@
+package pgwire
+
+import (
+	"encoding/binary"
+	"errors"
+	"io"
+)
+
+// DefaultMaxMessage is the longest message that a Reader takes unless told otherwise, in bytes.
+const DefaultMaxMessage = 16 << 20
+
+// maxStartup is the longest startup packet, as in PostgreSQL itself.
+const maxStartup = 10000
+
+// Reader yields the messages of one direction of a connection. It is not safe for concurrent use.
+type Reader struct {
+	src  io.Reader
+	buf  []byte
+	r, w int // unread bytes are buf[r:w]
+	max  int
+}
+
+// NewReader reads from src and refuses messages whose body is longer than maxMessage bytes
+// (DefaultMaxMessage if it is not positive).
+func NewReader(src io.Reader, maxMessage int) *Reader {
+	if maxMessage <= 0 {
+		maxMessage = DefaultMaxMessage
+	}
+	return &Reader{src: src, buf: make([]byte, 4096), max: maxMessage}
+}
+
+// Buffered is how many bytes have been read from the source and not yet handed out.
+func (r *Reader) Buffered() int { return r.w - r.r }
+
+// Next reads one typed message. The body is valid until the next call. io.EOF means that the peer closed
+// between messages, io.ErrUnexpectedEOF within one; a *ProtocolError names a length that cannot be.
+func (r *Reader) Next() (typ byte, body []byte, err error) {
+	head, err := r.take(5)
+	if err != nil {
+		return 0, nil, err
+	}
+	typ = head[0]
+	n := binary.BigEndian.Uint32(head[1:])
+	if n < 4 {
+		return 0, nil, bad(typ, "length %d is less than its own 4 bytes", n)
+	}
+	if uint64(n)-4 > uint64(r.max) {
+		return 0, nil, bad(typ, "length %d is over the limit of %d bytes", n, r.max)
+	}
+	body, err = r.take(int(n) - 4)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return typ, body, err
+}
+
+// NextStartup reads one untyped packet, as a frontend sends before anything else.
+func (r *Reader) NextStartup() ([]byte, error) {
+	head, err := r.take(4)
+	if err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(head)
+	if n < 8 || n > maxStartup {
+		return nil, bad(msgUntyped, "length %d is not within 8 and %d", n, maxStartup)
+	}
+	body, err := r.take(int(n) - 4)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return body, err
+}
+
+// NextByte reads the single byte that answers a TLS request.
+func (r *Reader) NextByte() (byte, error) {
+	b, err := r.take(1)
+	if err != nil {
+		return 0, err
+	}
+	return b[0], nil
+}
+
+// take returns the next n bytes. It grows its buffer only as far as bytes really come in, so that a length
+// alone costs a peer's victim nothing.
+func (r *Reader) take(n int) ([]byte, error) {
+	for r.w-r.r < n {
+		if err := r.fill(n); err != nil {
+			if err == io.EOF && r.w > r.r {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+	}
+	b := r.buf[r.r : r.r+n : r.r+n]
+	r.r += n
+	return b, nil
+}
+
+func (r *Reader) fill(n int) error {
+	if r.r > 0 && r.r == r.w {
+		r.r, r.w = 0, 0
+		if len(r.buf) > 1<<16 && n < 1<<12 {
+			r.buf = make([]byte, 4096) // one long message must not keep its memory for good
+		}
+	}
+	if len(r.buf)-r.r < n && r.r > 0 {
+		copy(r.buf, r.buf[r.r:r.w])
+		r.r, r.w = 0, r.w-r.r
+	}
+	if r.w == len(r.buf) {
+		grown := make([]byte, min(2*len(r.buf), max(n, len(r.buf)+1)))
+		copy(grown, r.buf[:r.w])
+		r.buf = grown
+	}
+	m, err := r.src.Read(r.buf[r.w:])
+	r.w += m
+	if m > 0 {
+		return nil
+	}
+	if err == nil {
+		err = io.ErrNoProgress
+	}
+	return err
+}
--- /dev/null
+++ b/position/position.go
@@ -0,0 +1,230 @@
+// Package position turns places in a db node's log into times that package balance can compare, without
+// trusting anybody's clock but the driver's own.
+//
+// PostgreSQL numbers the bytes of its log (the LSN) and the histories that promotions begin (the timeline).
+// Neither is a time. A Clock learns from each answer of the primary "between its send and its arrival the log
+// stood at L" and bounds times from that, always to the safe side:
+//
+//   - what a replica has applied is bounded from below: it is never taken to be newer than it is;
+//   - when a commit happened is bounded from above: a token never asks for less than it should.
+//
+// Nothing is extrapolated. What no observation bounds is "unproven" on the one side and "the present" on the
+// other. docs/positions.md has the proof.
+package position
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Unknown is the LSN of a commit that certainly happened but whose place was not heard. It lies after all
+// others of its timeline, so that it asks for the present.
+const Unknown = math.MaxUint64
+
+// Position is a place in the log of a slice: the timeline and the byte on it (PostgreSQL's LSN).
+// The zero Position is "none".
+type Position struct {
+	Timeline uint32
+	LSN      uint64
+}
+
+// IsZero tells whether p is no place at all.
+func (p Position) IsZero() bool { return p == Position{} }
+
+// Compare orders by timeline, then by LSN. Later is newer wherever the older place survived the promotions
+// between them.
+func (p Position) Compare(q Position) int {
+	switch {
+	case p.Timeline != q.Timeline:
+		if p.Timeline < q.Timeline {
+			return -1
+		}
+		return 1
+	case p.LSN < q.LSN:
+		return -1
+	case p.LSN > q.LSN:
+		return 1
+	}
+	return 0
+}
+
+// Max is the later of both.
+func (p Position) Max(q Position) Position {
+	if p.Compare(q) < 0 {
+		return q
+	}
+	return p
+}
+
+// String writes PostgreSQL's form with the timeline in front: 2:16/B374D848.
+func (p Position) String() string {
+	if p.LSN == Unknown {
+		return fmt.Sprintf("%d:unknown", p.Timeline)
+	}
+	return fmt.Sprintf("%d:%X/%X", p.Timeline, p.LSN>>32, uint32(p.LSN))
+}
+
+// ParseLSN reads PostgreSQL's text form of an LSN, two hexadecimal numbers around a slash.
+func ParseLSN(s string) (uint64, error) {
+	high, low, ok := strings.Cut(s, "/")
+	h, err1 := strconv.ParseUint(high, 16, 32)
+	l, err2 := strconv.ParseUint(low, 16, 32)
+	if !ok || err1 != nil || err2 != nil {
+		return 0, fmt.Errorf("%q is no log position; one looks like 16/B374D848", s)
+	}
+	return h<<32 | l, nil
+}
+
+// maxPoints bounds a Clock's memory. Points beyond it are thinned out, which only loosens bounds.
+const maxPoints = 1024
+
+// point is one bound: the log stood at lsn at some time not before (lower) or not after (upper) at.
+type point struct {
+	lsn uint64
+	at  time.Duration
+}
+
+// Clock bounds the times of the positions of one slice. The zero Clock is ready; it is not safe for
+// concurrent use. Times are on the driver's own steady clock.
+type Clock struct {
+	timeline uint32
+	known    bool          // the primary of the timeline was heard
+	first    time.Duration // when it was first heard
+	lower    []point       // by LSN; at is when an answer with it was sent, rising
+	upper    []point       // by LSN; at is when an answer with it was heard, rising
+}
+
+// Timeline is the highest timeline seen so far, 0 before any.
+func (c *Clock) Timeline() uint32 { return c.timeline }
+
+// Seen takes note that somebody is on a timeline: whatever claims to be primary of an older one is superseded.
+func (c *Clock) Seen(timeline uint32) {
+	if timeline > c.timeline {
+		*c = Clock{timeline: timeline, lower: c.lower[:0], upper: c.upper[:0]}
+	}
+}
+
+// Primary takes note that the primary's log stood at p at some time between sent and heard. It tells whether
+// the observation counted: that of a superseded primary does not.
+func (c *Clock) Primary(p Position, sent, heard time.Duration) bool {
+	c.Seen(p.Timeline)
+	if p.Timeline < c.timeline || p.LSN == Unknown || heard < sent {
+		return false
+	}
+	if !c.known || heard < c.first {
+		c.known, c.first = true, heard
+	}
+	c.lower = raise(c.lower, point{p.LSN, sent})
+	c.upper = lowerTo(c.upper, point{p.LSN, heard})
+	return true
+}
+
+// AppliedBy bounds from below what a member at p has: every commit that was answered before that time. It is
+// false where nothing is proven, as on a timeline whose primary was not heard.
+func (c *Clock) AppliedBy(p Position) (time.Duration, bool) {
+	if !c.known || p.Timeline != c.timeline {
+		return 0, false
+	}
+	i := sort.Search(len(c.lower), func(i int) bool { return c.lower[i].lsn > p.LSN })
+	if i == 0 {
+		return 0, false
+	}
+	return c.lower[i-1].at, true
+}
+
+// CommittedBy bounds from above when the commit at p happened. It is false where only the present will do.
+func (c *Clock) CommittedBy(p Position) (time.Duration, bool) {
+	switch {
+	case !c.known || p.Timeline > c.timeline:
+		return 0, false
+	case p.Timeline < c.timeline:
+		return c.first, true // if it survived, it was there before the promotion that we heard of by then
+	}
+	i := sort.Search(len(c.upper), func(i int) bool { return c.upper[i].lsn >= p.LSN })
+	if i == len(c.upper) {
+		return 0, false
+	}
+	return c.upper[i].at, true
+}
+
+// Newest is when the newest observation of the primary was sent, false before the first.
+func (c *Clock) Newest() (time.Duration, bool) {
+	if len(c.lower) == 0 {
+		return 0, false
+	}
+	return c.lower[len(c.lower)-1].at, true
+}
+
+// After is a place that the primary's log was heard to stand at some time after t, false if none: whatever was
+// committed by t on the clock's timeline lies at or before it.
+func (c *Clock) After(t time.Duration) (Position, bool) {
+	i := sort.Search(len(c.lower), func(i int) bool { return c.lower[i].at > t })
+	if i == len(c.lower) {
+		return Position{}, false
+	}
+	return Position{c.timeline, c.lower[i].lsn}, true
+}
+
+// raise adds a lower bound to points that rise in both fields, unless one at no higher LSN is as late.
+func raise(points []point, p point) []point {
+	i := sort.Search(len(points), func(i int) bool { return points[i].lsn > p.lsn })
+	if i > 0 && points[i-1].at >= p.at {
+		return points
+	}
+	from := i
+	for from > 0 && points[from-1].lsn == p.lsn {
+		from--
+	}
+	to := i
+	for to < len(points) && points[to].at <= p.at {
+		to++
+	}
+	return thin(splice(points, from, to, p))
+}
+
+// lowerTo adds an upper bound to points that rise in both fields, unless one at no lower LSN is as early.
+func lowerTo(points []point, p point) []point {
+	i := sort.Search(len(points), func(i int) bool { return points[i].lsn >= p.lsn })
+	if i < len(points) && points[i].at <= p.at {
+		return points
+	}
+	to := i
+	if to < len(points) && points[to].lsn == p.lsn {
+		to++
+	}
+	from := i
+	for from > 0 && points[from-1].at >= p.at {
+		from--
+	}
+	return thin(splice(points, from, to, p))
+}
+
+// splice puts p in the place of points[from:to].
+func splice(points []point, from, to int, p point) []point {
+	if from == to {
+		points = append(points, point{})
+		copy(points[from+1:], points[from:])
+		points[from] = p
+		return points
+	}
+	points[from] = p
+	return append(points[:from+1], points[to:]...)
+}
+
+// thin drops every second point of the older half once there are too many.
+func thin(points []point) []point {
+	if len(points) <= maxPoints {
+		return points
+	}
+	half, kept := len(points)/2, points[:0]
+	for i, p := range points {
+		if i >= half || i%2 == 0 {
+			kept = append(kept, p)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/position/position_test.go
@@ -0,0 +1,216 @@
+package position
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// history is the truth that a clock sees parts of: a log with commits, forked by promotions.
+type history struct {
+	commits []commit
+	promos  []promo
+	end     time.Duration
+}
+
+type commit struct {
+	at   Position
+	when time.Duration
+}
+
+type promo struct {
+	at   Position // where the new timeline begins
+	when time.Duration
+}
+
+// draw makes a history of one to three timelines; a promotion may lose the last commits before it.
+func draw(t *rapid.T) history {
+	var h history
+	now, lsn := time.Duration(0), uint64(100)
+	for tl := uint32(1); tl <= uint32(rapid.IntRange(1, 3).Draw(t, "timelines")); tl++ {
+		h.promos = append(h.promos, promo{Position{tl, lsn}, now})
+		fork := lsn
+		for range rapid.IntRange(1, 12).Draw(t, "commits") {
+			now += time.Duration(rapid.IntRange(1, 50).Draw(t, "gap"))
+			lsn += uint64(rapid.IntRange(1, 30).Draw(t, "bytes"))
+			h.commits = append(h.commits, commit{Position{tl, lsn}, now})
+		}
+		if rapid.Bool().Draw(t, "loses") && lsn > fork {
+			lsn = fork + (lsn-fork)/2 // a promotion that lost commits
+		}
+		now += 10
+	}
+	h.end = now
+	return h
+}
+
+// stood is where the log of a timeline stood at a time.
+func (h history) stood(tl uint32, when time.Duration) Position {
+	p := h.promos[tl-1].at
+	for _, c := range h.commits {
+		if c.at.Timeline == tl && c.when <= when {
+			p = c.at
+		}
+	}
+	return p
+}
+
+// survives tells whether a commit is in the history of a timeline.
+func (h history) survives(c commit, tl uint32) bool {
+	for next := c.at.Timeline; next < tl; next++ {
+		if c.at.LSN > h.promos[next].at.LSN {
+			return false
+		}
+	}
+	return c.at.Timeline <= tl
+}
+
+func (h history) timelineAt(when time.Duration) uint32 {
+	tl := uint32(1)
+	for i, p := range h.promos {
+		if p.when <= when {
+			tl = uint32(i + 1)
+		}
+	}
+	return tl
+}
+
+// TestClockIsSafe shows that no order of observations makes a replica look newer, or a token older, than it is.
+func TestClockIsSafe(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := draw(t)
+		type seen struct {
+			p           Position
+			sent, heard time.Duration
+		}
+		var all []seen
+		last := uint32(len(h.promos))
+		for range rapid.IntRange(1, 40).Draw(t, "observations") {
+			at := time.Duration(rapid.IntRange(0, int(h.end)).Draw(t, "at"))
+			sent := at - time.Duration(rapid.IntRange(0, 20).Draw(t, "out"))
+			heard := at + time.Duration(rapid.IntRange(0, 20).Draw(t, "back"))
+			all = append(all, seen{h.stood(h.timelineAt(at), at), sent, heard})
+		}
+		var c Clock
+		for _, i := range rapid.Permutation(seq(len(all))).Draw(t, "order") {
+			c.Primary(all[i].p, all[i].sent, all[i].heard)
+		}
+		if rapid.Bool().Draw(t, "last timeline seen") {
+			c.Seen(last)
+		}
+		tl := c.Timeline()
+		for _, p := range h.promos[:tl] {
+			member := p.at
+			for _, add := range []uint64{0, 1, 7, 50, 1000} {
+				member.LSN = p.at.LSN + add
+				by, ok := c.AppliedBy(member)
+				if !ok {
+					continue
+				}
+				for _, com := range h.commits {
+					if com.when < by && h.survives(com, tl) && com.at.LSN > member.LSN {
+						t.Fatalf("member at %v counts as applied by %v but lacks %v of %v", member, by, com.at, com.when)
+					}
+				}
+			}
+		}
+		for _, com := range h.commits {
+			if by, ok := c.CommittedBy(com.at); ok && by < com.when && h.survives(com, tl) {
+				t.Fatalf("commit %v of %v counts as made by %v", com.at, com.when, by)
+			}
+		}
+	})
+}
+
+func seq(n int) []int {
+	s := make([]int, n)
+	for i := range s {
+		s[i] = i
+	}
+	return s
+}
+
+// TestOrderDoesNotMatter shows that the bounds of one timeline depend on what was seen, not on when.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := draw(t)
+		n := rapid.IntRange(1, 30).Draw(t, "observations")
+		var a, b Clock
+		at := rapid.SliceOfN(rapid.IntRange(0, int(h.end)), n, n).Draw(t, "at")
+		for _, i := range seq(n) {
+			when := time.Duration(at[i])
+			a.Primary(h.stood(1, when), when-3, when+5)
+		}
+		for _, i := range rapid.Permutation(seq(n)).Draw(t, "order") {
+			when := time.Duration(at[i])
+			b.Primary(h.stood(1, when), when-3, when+5)
+		}
+		for lsn := uint64(90); lsn < 600; lsn += 7 {
+			p := Position{1, lsn}
+			a1, aok := a.AppliedBy(p)
+			b1, bok := b.AppliedBy(p)
+			a2, aok2 := a.CommittedBy(p)
+			b2, bok2 := b.CommittedBy(p)
+			if a1 != b1 || a2 != b2 || aok != bok || aok2 != bok2 {
+				t.Fatalf("at %v: %v %v / %v %v", p, a1, a2, b1, b2)
+			}
+		}
+	})
+}
+
+func TestUnknownAsksForThePresent(t *testing.T) {
+	var c Clock
+	c.Primary(Position{1, 100}, 10, 12)
+	if _, ok := c.CommittedBy(Position{1, Unknown}); ok {
+		t.Error("a commit at an unknown place was bounded")
+	}
+	if _, ok := c.CommittedBy(Position{2, 50}); ok {
+		t.Error("a commit on a timeline not seen was bounded")
+	}
+	c.Primary(Position{2, 110}, 30, 33)
+	if by, ok := c.CommittedBy(Position{1, Unknown}); !ok || by != 33 {
+		t.Errorf("after the promotion it was made by %v, %v, want 33", by, ok)
+	}
+	if c.Primary(Position{1, 500}, 40, 41) {
+		t.Error("a superseded primary was believed")
+	}
+	if _, ok := c.AppliedBy(Position{1, 500}); ok {
+		t.Error("a member of the superseded timeline counts as proven")
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	var c Clock
+	for i := range 20 * maxPoints {
+		c.Primary(Position{1, uint64(i)}, time.Duration(i), time.Duration(i+1))
+	}
+	if len(c.lower) > maxPoints || len(c.upper) > maxPoints {
+		t.Fatalf("%d and %d points kept", len(c.lower), len(c.upper))
+	}
+	if by, _ := c.AppliedBy(Position{1, 20*maxPoints - 1}); by != 20*maxPoints-1 {
+		t.Errorf("the newest bound is %v", by)
+	}
+}
+
+func TestParseLSN(t *testing.T) {
+	for text, want := range map[string]uint64{"0/0": 0, "16/B374D848": 0x16b374d848, "FFFFFFFF/FFFFFFFF": Unknown} {
+		if got, err := ParseLSN(text); err != nil || got != want {
+			t.Errorf("%s: %x, %v", text, got, err)
+		}
+	}
+	for _, text := range []string{"", "/", "1", "1/", "G/1", "100000000/0", "1/2/3", "-1/2"} {
+		if _, err := ParseLSN(text); err == nil {
+			t.Errorf("%q was taken", text)
+		}
+	}
+}
+
+func BenchmarkClock(b *testing.B) {
+	var c Clock
+	for i := range b.N {
+		now := time.Duration(i)
+		c.Primary(Position{1, uint64(i)}, now, now+3)
+		c.AppliedBy(Position{1, uint64(i) / 2})
+	}
+}
--- /dev/null
+++ b/server/conn.go
@@ -0,0 +1,319 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"umberladder/balance"
+	"umberladder/driver"
+	"umberladder/pgwire"
+)
+
+// login is how connections present themselves to db nodes.
+type login struct {
+	user, password, database string
+	maxMessage               int
+}
+
+// job is one exchange for a connection to carry out.
+type job struct {
+	kind   exchangeKind
+	st     *statement
+	sink   rowSink
+	stream *stream // nil unless its rows go out as they come
+}
+
+// conn is one connection to a db node: one goroutine writes, one reads. It tells the loop what happens, each
+// exchange exactly one result, and after its last word (closed, or a broken result) nothing more.
+type conn struct {
+	id      driver.ConnID
+	address string
+	inbox   *inbox
+	jobs    chan job
+	cancel  context.CancelFunc
+	ctx     context.Context
+	warn    func(format string, args ...any)
+	stream  *stream // the loop's: where the rows of the present exchange go, nil unless streamed
+
+	mu       sync.Mutex
+	out      *job // what is awaited
+	ended    bool
+	unsent   bool // not a byte of out was taken by the system
+	secret   pgwire.Cancel
+	byParams bool
+}
+
+// queued is how many exchanges may be handed over before one is done; the engine hands over one.
+const queued = 2
+
+func newConn(ctx context.Context, id driver.ConnID, address string, in *inbox, warn func(string, ...any)) *conn {
+	c := &conn{id: id, address: address, inbox: in, jobs: make(chan job, queued), warn: warn}
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	return c
+}
+
+// run lives as long as the connection does. It returns no error: whatever ends a connection is told to the
+// loop, which goes on without it.
+func (c *conn) run(l login) {
+	defer c.cancel()
+	nc, err := (&net.Dialer{}).DialContext(c.ctx, "tcp", c.address)
+	if err != nil {
+		c.tell(driver.Event{Kind: driver.EventDialed, Conn: c.id, Dial: &driver.DialError{Err: err}})
+		return
+	}
+	stop := context.AfterFunc(c.ctx, func() { nc.Close() })
+	defer stop()
+	defer nc.Close()
+	r := pgwire.NewReader(nc, l.maxMessage)
+	params := map[string]string{}
+	if failure := c.open(nc, r, l, params); failure != nil {
+		c.tell(driver.Event{Kind: driver.EventDialed, Conn: c.id, Dial: failure})
+		return
+	}
+	c.tell(driver.Event{Kind: driver.EventDialed, Conn: c.id})
+	var writer sync.WaitGroup
+	writer.Go(func() { c.write(nc) })
+	c.finish(c.read(r, params))
+	c.cancel()
+	writer.Wait()
+}
+
+func (c *conn) tell(ev driver.Event) { c.inbox.put(ev) }
+
+// open goes through startup and authentication and prepares the question for facts.
+func (c *conn) open(nc net.Conn, r *pgwire.Reader, l login, params map[string]string) *driver.DialError {
+	auth := pgwire.NewAuthenticator(l.user, l.password)
+	b := pgwire.AppendStartup(nil, map[string]string{"user": l.user, "database": l.database,
+		"application_name": "umberladder", "client_encoding": "UTF8", "bytea_output": "hex", "DateStyle": "ISO"})
+	prepared := false
+	for {
+		if len(b) > 0 {
+			if _, err := nc.Write(b); err != nil {
+				return &driver.DialError{Err: err}
+			}
+		}
+		b = b[:0]
+		typ, body, err := r.Next()
+		if err != nil {
+			return &driver.DialError{Err: fmt.Errorf("while it opened: %w", err)}
+		}
+		switch typ {
+		case pgwire.MsgAuthentication:
+			var req pgwire.Auth
+			if req, err = pgwire.ParseAuth(body); err == nil {
+				b, _, err = auth.Answer(b, req)
+			}
+		case pgwire.MsgParameterStatus:
+			err = takeParam(params, body)
+		case pgwire.MsgBackendKeyData:
+			var secret pgwire.Cancel
+			secret, err = pgwire.ParseBackendKeyData(body)
+			c.mu.Lock()
+			c.secret = secret
+			c.mu.Unlock()
+		case pgwire.MsgErrorResponse:
+			return dialFault(body)
+		case pgwire.MsgNoticeResponse, pgwire.MsgParseComplete, pgwire.MsgNegotiateVersion:
+		case pgwire.MsgReadyForQuery:
+			if c.byParams = factsOfParams(params).Known; c.byParams || prepared {
+				return nil
+			}
+			prepared = true
+			b = pgwire.AppendSync(pgwire.AppendParse(b, factsName, factsSQL, nil))
+		default:
+			err = fmt.Errorf("message %q while it opened", typ)
+		}
+		if err != nil {
+			return &driver.DialError{Err: err}
+		}
+	}
+}
+
+func dialFault(body []byte) *driver.DialError {
+	e, err := pgwire.ParseError(pgwire.MsgErrorResponse, body)
+	if err != nil {
+		return &driver.DialError{Err: err}
+	}
+	return &driver.DialError{Full: driver.Judge(&driver.Result{Err: e}).Outcome == balance.OutcomeFull, Err: e}
+}
+
+// write sends what the loop hands over.
+func (c *conn) write(nc net.Conn) {
+	var b []byte
+	for {
+		var j job
+		select {
+		case j = <-c.jobs:
+		case <-c.ctx.Done():
+			return
+		}
+		c.mu.Lock()
+		if c.ended {
+			c.mu.Unlock()
+			return // the loop hears, or has heard, that the connection closed before this went out
+		}
+		c.out = &j
+		c.mu.Unlock()
+		b = appendExchange(b[:0], j.kind, c.byParams, j.st)
+		n, err := nc.Write(b)
+		if err != nil {
+			c.mu.Lock()
+			c.unsent = n == 0
+			c.mu.Unlock()
+			nc.Close()
+			return
+		}
+		if cap(b) > 1<<16 {
+			b = nil
+		}
+	}
+}
+
+// read follows the node's messages until the connection ends, and returns why it did.
+func (c *conn) read(r *pgwire.Reader, params map[string]string) (*exchange, error) {
+	var x *exchange
+	for {
+		typ, body, err := r.Next()
+		if err != nil {
+			return x, err
+		}
+		if x == nil {
+			j := c.awaited()
+			if j == nil {
+				if err := idleMessage(typ, body, params); err != nil {
+					return nil, err
+				}
+				continue
+			}
+			x = newExchange(j.kind, c.byParams, params, j.sink)
+		}
+		done, err := x.take(typ, body)
+		if err != nil {
+			return x, err
+		}
+		if x.opens {
+			if err := c.begin(x); err != nil {
+				return x, err
+			}
+		}
+		if done {
+			spoilt := x.spoilt
+			c.mu.Lock()
+			c.out = nil
+			c.ended = spoilt != ""
+			c.mu.Unlock()
+			c.tell(driver.Event{Kind: driver.EventResult, Conn: c.id, Result: x.closing(driver.EndAnswered)})
+			x = nil
+			if spoilt != "" {
+				c.tell(driver.Event{Kind: driver.EventClosed, Conn: c.id})
+				return nil, nil
+			}
+		}
+	}
+}
+
+func (c *conn) awaited() *job {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.out
+}
+
+// idleMessage takes what a node may say unasked.
+func idleMessage(typ byte, body []byte, params map[string]string) error {
+	switch typ {
+	case pgwire.MsgNoticeResponse, pgwire.MsgNotificationResponse:
+		return nil
+	case pgwire.MsgParameterStatus:
+		return takeParam(params, body)
+	case pgwire.MsgErrorResponse:
+		e, err := pgwire.ParseError(typ, body)
+		if err != nil {
+			return err
+		}
+		return e
+	}
+	return fmt.Errorf("message %q though nothing was asked", typ)
+}
+
+// begin asks the loop whether a streamed answer may go to its client, and waits for the word.
+func (c *conn) begin(x *exchange) error {
+	j := c.awaited()
+	if j == nil || j.stream == nil {
+		return nil
+	}
+	c.tell(driver.Event{Kind: driver.EventOpened, Conn: c.id, Result: x.result})
+	select {
+	case <-j.stream.opened:
+		return nil
+	case <-c.ctx.Done():
+		return c.ctx.Err()
+	}
+}
+
+// closing is the result of an exchange with how it ended.
+func (x *exchange) closing(end driver.End) driver.Result {
+	r := x.result
+	r.End = end
+	switch sink := x.sink.(type) {
+	case *reply:
+		sink.fault = r.Err
+	case *stream:
+		sink.fault = r.Err
+	}
+	r.Payload = x.sink
+	return r
+}
+
+// finish is the connection's last word.
+func (c *conn) finish(x *exchange, err error) {
+	c.mu.Lock()
+	already, out, unsent := c.ended, c.out, c.unsent
+	c.ended = true
+	c.mu.Unlock()
+	if already {
+		return
+	}
+	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && c.ctx.Err() == nil {
+		c.warn("connection broke off: %v", err)
+	}
+	switch {
+	case out == nil:
+		c.tell(driver.Event{Kind: driver.EventClosed, Conn: c.id})
+	case x == nil:
+		end := driver.EndBroken
+		if unsent {
+			end = driver.EndNotSent
+		}
+		c.tell(driver.Event{Kind: driver.EventResult, Conn: c.id, Result: driver.Result{End: end}})
+	default:
+		c.tell(driver.Event{Kind: driver.EventResult, Conn: c.id, Result: x.closing(driver.EndBroken)})
+	}
+}
+
+// cancelWork asks the node, on a connection of its own, to end what this one runs.
+func (c *conn) cancelWork(timeout time.Duration) {
+	c.mu.Lock()
+	secret := c.secret
+	c.mu.Unlock()
+	if secret == (pgwire.Cancel{}) {
+		return
+	}
+	nc, err := (&net.Dialer{Timeout: timeout}).DialContext(c.ctx, "tcp", c.address)
+	if err != nil {
+		return // the work goes on; its connection is not used again either way
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(timeout))
+	if _, err := nc.Write(pgwire.AppendCancel(nil, secret.PID, secret.Key)); err == nil {
+		io.Copy(io.Discard, nc) // the node closes once it has passed the wish on
+	}
+}
+
+// plainText tells whether a text can be sent as a value or statement: zero bytes end it in the protocol.
+func plainText(s string) bool { return strings.IndexByte(s, 0) < 0 }
--- /dev/null
+++ b/server/exchange.go
@@ -0,0 +1,290 @@
+package server
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"umberladder/driver"
+	"umberladder/pgwire"
+	"umberladder/position"
+)
+
+// factsName is the prepared statement that asks a node for its role and position.
+const factsName = "umberladder_facts"
+
+// factsSQL asks an unmodified server whether it is in recovery, where it stands in the log and on which
+// timeline. A primary tells its timeline by the name of its present log file; a replica by what it receives,
+// or, while it receives nothing, by its last restart point.
+const factsSQL = `SELECT pg_is_in_recovery(),
+ CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() ELSE pg_current_wal_lsn() END,
+ CASE WHEN pg_is_in_recovery()
+  THEN coalesce((SELECT received_tli FROM pg_stat_wal_receiver), (SELECT timeline_id FROM pg_control_checkpoint()))
+  ELSE ('x' || substr(pg_walfile_name(pg_current_wal_lsn()), 1, 8))::bit(32)::int END`
+
+// Parameters by which a node may tell the same without being asked, with every ReadyForQuery that follows a
+// change. PostgreSQL reports the first by itself; the second takes an extension that marks it for reports.
+const (
+	paramStandby  = "in_hot_standby"
+	paramPosition = "umberladder.position"
+)
+
+// Kinds of exchange.
+type exchangeKind uint8
+
+const (
+	exchangeAsk exchangeKind = iota
+	exchangeRead
+	exchangeWrite
+)
+
+// phase is what the node's next messages belong to.
+type phase uint8
+
+const (
+	phaseFacts phase = iota
+	phaseStatement
+	phaseReady
+)
+
+// phases says in which order a node answers. Before a read the facts bound its data from below; after a
+// write they bound its commit from above. Where the node tells facts by parameters, a ReadyForQuery brings them.
+var phases = map[bool]map[exchangeKind][]phase{
+	false: {exchangeAsk: {phaseFacts, phaseReady}, exchangeRead: {phaseFacts, phaseStatement, phaseReady},
+		exchangeWrite: {phaseStatement, phaseReady, phaseFacts, phaseReady}},
+	true: {exchangeAsk: {phaseReady}, exchangeRead: {phaseReady, phaseStatement, phaseReady},
+		exchangeWrite: {phaseStatement, phaseReady}},
+}
+
+// statement is what a client wants run.
+type statement struct {
+	sql    string
+	types  []uint32
+	values [][]byte
+}
+
+// appendExchange appends the whole pipeline of an exchange.
+func appendExchange(b []byte, kind exchangeKind, byParams bool, st *statement) []byte {
+	for _, p := range phases[byParams][kind] {
+		switch p {
+		case phaseFacts:
+			b = pgwire.AppendExecute(pgwire.AppendBind(b, "", factsName, nil), "", 0)
+		case phaseStatement:
+			b = pgwire.AppendParse(b, "", st.sql, st.types)
+			b = pgwire.AppendBind(b, "", "", st.values)
+			b = pgwire.AppendExecute(pgwire.AppendDescribe(b, 'P', ""), "", 0)
+		case phaseReady:
+			b = pgwire.AppendSync(b)
+		}
+	}
+	return b
+}
+
+// rowSink takes the rows of one answer.
+type rowSink interface {
+	columns(c []pgwire.Column)
+	// row takes one row, which is valid during the call only.
+	row(values [][]byte)
+	tag(text string)
+}
+
+// exchange follows the answer to one pipeline. It does no I/O: take gets one message at a time.
+type exchange struct {
+	left     []phase
+	byParams bool
+	params   map[string]string
+	sink     rowSink
+	result   driver.Result
+	skipping bool // an error came: all up to the next ReadyForQuery is void
+	opens    bool // the statement's columns were heard, its rows come next
+	fields   int
+	values   [][]byte
+	spoilt   string // why the connection can't be used again though the answer is whole
+}
+
+func newExchange(kind exchangeKind, byParams bool, params map[string]string, sink rowSink) *exchange {
+	return &exchange{left: phases[byParams][kind], byParams: byParams, params: params, sink: sink}
+}
+
+// take follows one message. done says that the answer is whole; an error that the peer broke the protocol.
+func (x *exchange) take(typ byte, body []byte) (done bool, err error) {
+	x.opens = false
+	switch typ {
+	case pgwire.MsgNoticeResponse, pgwire.MsgNotificationResponse:
+		return false, nil
+	case pgwire.MsgParameterStatus:
+		return false, takeParam(x.params, body)
+	case pgwire.MsgErrorResponse:
+		return false, x.fault(body)
+	case pgwire.MsgReadyForQuery:
+		return x.ready(body)
+	case pgwire.MsgCopyInResponse, pgwire.MsgCopyOutResponse, pgwire.MsgCopyBothResponse:
+		// The node rolls back when the connection ends; nothing else ends a COPY as surely.
+		x.refuse("0A000", "COPY is not carried; use INSERT or SELECT")
+		return true, nil
+	}
+	if x.skipping || len(x.left) == 0 {
+		return false, x.unexpected(typ)
+	}
+	switch x.left[0] {
+	case phaseFacts:
+		return false, x.facts(typ, body)
+	case phaseStatement:
+		return false, x.statement(typ, body)
+	}
+	return false, x.unexpected(typ)
+}
+
+func takeParam(params map[string]string, body []byte) error {
+	name, value, err := pgwire.ParseParameterStatus(body)
+	if err == nil && len(params) < 256 {
+		params[name] = value
+	}
+	return err
+}
+
+// refuse ends the answer with an error of this side and gives the connection up.
+func (x *exchange) refuse(code, why string) {
+	x.spoilt = why
+	x.result.Done, x.result.Err = false, &pgwire.Error{Severity: "ERROR", Code: code, Message: why}
+}
+
+func (x *exchange) unexpected(typ byte) error {
+	where := "after the end"
+	if len(x.left) > 0 {
+		where = [...]string{"in the answer to the facts", "in the answer to the statement", "before ReadyForQuery"}[x.left[0]]
+	}
+	return fmt.Errorf("message %q %s", typ, where)
+}
+
+func (x *exchange) fault(body []byte) error {
+	e, err := pgwire.ParseError(pgwire.MsgErrorResponse, body)
+	if err != nil {
+		return err
+	}
+	x.skipping = true
+	if x.result.Done || x.result.Err != nil {
+		return nil // what was answered stands; only its position is missing
+	}
+	x.result.Err, x.result.Asking = e, len(x.left) > 0 && x.left[0] == phaseFacts
+	return nil
+}
+
+func (x *exchange) ready(body []byte) (bool, error) {
+	state, err := pgwire.ParseReadyForQuery(body)
+	if err != nil {
+		return false, err
+	}
+	for len(x.left) > 0 && x.left[0] != phaseReady {
+		if !x.skipping {
+			return false, x.unexpected(pgwire.MsgReadyForQuery)
+		}
+		x.left = x.left[1:]
+	}
+	if len(x.left) == 0 {
+		return false, x.unexpected(pgwire.MsgReadyForQuery)
+	}
+	x.left, x.skipping = x.left[1:], false
+	if x.byParams && !x.result.Facts.Known {
+		x.result.Facts = factsOfParams(x.params)
+	}
+	if state != pgwire.TxIdle {
+		x.refuse("25001", "the statement left a transaction open; send one statement that stands alone")
+		return true, nil
+	}
+	if x.result.Began && x.result.Err == nil {
+		x.result.Done = true
+	}
+	return len(x.left) == 0, nil
+}
+
+func (x *exchange) facts(typ byte, body []byte) (err error) {
+	switch typ {
+	case pgwire.MsgBindComplete:
+		return nil
+	case pgwire.MsgDataRow:
+		if x.values, err = pgwire.ParseDataRow(body, x.values); err != nil {
+			return err
+		}
+		x.result.Facts, err = parseFacts(x.values)
+		return err
+	case pgwire.MsgCommandComplete:
+		if !x.result.Facts.Known {
+			return fmt.Errorf("no row in the answer to the facts")
+		}
+		x.left = x.left[1:]
+		return nil
+	}
+	return x.unexpected(typ)
+}
+
+func (x *exchange) statement(typ byte, body []byte) (err error) {
+	switch typ {
+	case pgwire.MsgParseComplete:
+		x.result.Began = true
+	case pgwire.MsgBindComplete, pgwire.MsgNoData, pgwire.MsgPortalSuspended:
+	case pgwire.MsgRowDescription:
+		columns, err := pgwire.ParseRowDescription(body)
+		if err != nil {
+			return err
+		}
+		x.fields, x.opens = len(columns), true
+		x.sink.columns(columns)
+	case pgwire.MsgDataRow:
+		if x.values, err = pgwire.ParseDataRow(body, x.values); err != nil {
+			return err
+		}
+		if len(x.values) != x.fields {
+			return fmt.Errorf("a row of %d values under %d columns", len(x.values), x.fields)
+		}
+		x.sink.row(x.values)
+	case pgwire.MsgCommandComplete:
+		tag, err := pgwire.ParseString(typ, body)
+		if err != nil {
+			return err
+		}
+		x.sink.tag(tag)
+		x.left = x.left[1:]
+	case pgwire.MsgEmptyQueryResponse:
+		x.left = x.left[1:]
+	default:
+		return x.unexpected(typ)
+	}
+	return nil
+}
+
+// parseFacts reads the row that factsSQL brings.
+func parseFacts(row [][]byte) (driver.Facts, error) {
+	if len(row) != 3 || row[0] == nil {
+		return driver.Facts{}, fmt.Errorf("facts of %d columns, 3 wanted", len(row))
+	}
+	if row[1] == nil || row[2] == nil {
+		// A replica that has replayed nothing yet stands nowhere.
+		return driver.Facts{Known: true, Replica: string(row[0]) == "t"}, nil
+	}
+	lsn, err := position.ParseLSN(string(row[1]))
+	if err != nil {
+		return driver.Facts{}, err
+	}
+	timeline, err := strconv.ParseUint(string(row[2]), 10, 32)
+	if err != nil {
+		return driver.Facts{}, fmt.Errorf("timeline %q: %w", row[2], err)
+	}
+	return driver.Facts{Known: true, Replica: string(row[0]) == "t",
+		Position: position.Position{Timeline: uint32(timeline), LSN: lsn}}, nil
+}
+
+// factsOfParams reads what a node told by parameters; not Known if it did not, or not in their form.
+func factsOfParams(params map[string]string) driver.Facts {
+	timeline, lsn, ok := strings.Cut(params[paramPosition], ":")
+	standby, told := params[paramStandby]
+	if !ok || !told {
+		return driver.Facts{}
+	}
+	tl, err1 := strconv.ParseUint(timeline, 10, 32)
+	at, err2 := position.ParseLSN(lsn)
+	if err1 != nil || err2 != nil {
+		return driver.Facts{}
+	}
+	return driver.Facts{Known: true, Replica: standby == "on", Position: position.Position{Timeline: uint32(tl), LSN: at}}
+}
--- /dev/null
+++ b/server/loop.go
@@ -0,0 +1,145 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"umberladder/driver"
+)
+
+// clockStart is the engine's time at the start. It lies far from zero, which is no time to the module.
+const clockStart = 1000 * time.Hour
+
+// loop owns the engine. It alone calls it, never blocks on a socket, and carries out its commands.
+type loop struct {
+	engine  *driver.Engine
+	inbox   *inbox
+	login   login
+	log     *zap.Logger
+	metrics *metrics
+	start   time.Time
+	conns   map[driver.ConnID]*conn
+	calls   callTable
+	work    *errgroup.Group
+	cancels time.Duration
+	list    func() []driver.Node
+	stopped chan struct{}
+}
+
+func (l *loop) now() time.Duration { return clockStart + time.Since(l.start) }
+
+// run goes on until ctx ends; then it closes all connections.
+func (l *loop) run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var events []driver.Event
+	var cmds []driver.Command
+	for {
+		select {
+		case <-l.inbox.ready:
+		case <-timer.C:
+		case <-ctx.Done():
+			l.end()
+			return nil
+		}
+		events = l.inbox.drain(events)
+		cmds = l.engine.Step(l.now(), events, cmds[:0])
+		for i := range cmds {
+			l.do(ctx, &cmds[i])
+			cmds[i] = driver.Command{}
+		}
+		l.forget(events)
+		clear(events)
+		if at, ok := l.engine.Wake(); ok {
+			timer.Reset(max(0, at-l.now()))
+		}
+		l.metrics.state(l.engine.Held(), l.engine.Conns())
+	}
+}
+
+// forget drops the connections that said their last word.
+func (l *loop) forget(events []driver.Event) {
+	for i := range events {
+		ev := &events[i]
+		if ev.Kind == driver.EventClosed || ev.Kind == driver.EventDialed && ev.Dial != nil ||
+			ev.Kind == driver.EventResult && ev.Result.End != driver.EndAnswered {
+			delete(l.conns, ev.Conn)
+		}
+	}
+}
+
+// end answers what is still held, so that no handler waits for a loop that is gone.
+func (l *loop) end() {
+	for _, c := range l.conns {
+		c.cancel()
+	}
+	l.calls.failAll()
+}
+
+func (l *loop) do(ctx context.Context, cmd *driver.Command) {
+	switch cmd.Kind {
+	case driver.CommandDial:
+		node := cmd.Node
+		c := newConn(ctx, cmd.Conn, cmd.Address, l.inbox, func(format string, args ...any) {
+			l.log.Sugar().Warnf("node "+node+": "+format, args...)
+		})
+		l.conns[cmd.Conn] = c
+		l.work.Go(func() error { c.run(l.login); return nil })
+	case driver.CommandSend:
+		l.send(cmd)
+	case driver.CommandAsk:
+		if c := l.conns[cmd.Conn]; c != nil {
+			c.jobs <- job{kind: exchangeAsk, sink: &reply{}}
+		}
+	case driver.CommandCancel:
+		if c := l.conns[cmd.Conn]; c != nil {
+			l.work.Go(func() error { c.cancelWork(l.cancels); return nil })
+		}
+	case driver.CommandClose:
+		if c := l.conns[cmd.Conn]; c != nil {
+			c.cancel()
+			delete(l.conns, cmd.Conn)
+		}
+	case driver.CommandOpen:
+		if c := l.conns[cmd.Conn]; c != nil {
+			l.calls.open(cmd.Request, cmd.Answer, c.stream)
+		}
+	case driver.CommandAnswer:
+		l.calls.answer(cmd.Request, cmd.Answer)
+	case driver.CommandSubscribe:
+		l.inbox.put(driver.Event{Kind: driver.EventList, List: listFull, Nodes: l.list()})
+	case driver.CommandLog:
+		l.logLine(cmd)
+	case driver.CommandStopped:
+		close(l.stopped)
+	}
+}
+
+func (l *loop) logLine(cmd *driver.Command) {
+	if cmd.Node != "" {
+		l.log.Warn("node " + cmd.Node + ": " + cmd.Text)
+		return
+	}
+	l.log.Info(cmd.Text)
+}
+
+func (l *loop) send(cmd *driver.Command) {
+	c, call := l.conns[cmd.Conn], l.calls.get(cmd.Request)
+	if c == nil || call == nil {
+		return
+	}
+	j := job{kind: exchangeRead, st: &call.st}
+	if cmd.Write {
+		j.kind = exchangeWrite
+	}
+	if c.stream = nil; call.ctx != nil {
+		c.stream = newStream(call.ctx)
+		j.sink, j.stream = c.stream, c.stream
+	} else {
+		j.sink = &reply{most: call.most}
+	}
+	c.jobs <- j
+}
--- /dev/null
+++ b/server/reply.go
@@ -0,0 +1,126 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"strconv"
+
+	"github.com/jackc/pgx/v5/pgtype"
+
+	"umberladder/pgwire"
+	pb "umberladder/proto/umberladder/v1"
+)
+
+// reply collects a whole answer.
+type reply struct {
+	cols   []pgwire.Column
+	rows   []*pb.Row
+	done   string
+	fault  *pgwire.Error // the statement's own error
+	size   int
+	most   int // bytes of values kept at the most
+	tooBig bool
+}
+
+func (r *reply) columns(c []pgwire.Column) { r.cols = c }
+func (r *reply) tag(text string)           { r.done = text }
+
+func (r *reply) row(values [][]byte) {
+	for _, v := range values {
+		r.size += len(v) + 16
+	}
+	if r.tooBig = r.tooBig || r.size > r.most; r.tooBig {
+		r.rows = nil
+		return
+	}
+	r.rows = append(r.rows, rowOf(r.cols, values))
+}
+
+// stream hands rows on as they come, once the loop has said that they may go.
+type stream struct {
+	reply
+	ctx    context.Context // ends with the client's call
+	opened chan struct{}
+	rowsCh chan *pb.Row
+}
+
+// streamAhead is how many rows are held for a client that reads slowly.
+const streamAhead = 64
+
+func newStream(ctx context.Context) *stream {
+	return &stream{ctx: ctx, opened: make(chan struct{}), rowsCh: make(chan *pb.Row, streamAhead)}
+}
+
+func (s *stream) row(values [][]byte) {
+	select {
+	case s.rowsCh <- rowOf(s.cols, values):
+	case <-s.ctx.Done(): // the loop closes the connection when it hears that the client left
+	}
+}
+
+func rowOf(cols []pgwire.Column, values [][]byte) *pb.Row {
+	row := &pb.Row{Values: make([]*pb.Value, len(values))}
+	for i, v := range values {
+		row.Values[i] = valueOf(cols[i].Type, v)
+	}
+	return row
+}
+
+// valueOf turns PostgreSQL's text form into a typed value. What has no type of its own here stays text.
+func valueOf(oid uint32, v []byte) *pb.Value {
+	if v == nil {
+		return &pb.Value{}
+	}
+	switch oid {
+	case pgwire.OIDBool:
+		return &pb.Value{Kind: &pb.Value_BoolValue{BoolValue: len(v) == 1 && v[0] == 't'}}
+	case pgwire.OIDInt2, pgwire.OIDInt4, pgwire.OIDInt8:
+		if n, err := strconv.ParseInt(string(v), 10, 64); err == nil {
+			return &pb.Value{Kind: &pb.Value_IntValue{IntValue: n}}
+		}
+	case pgwire.OIDFloat4, pgwire.OIDFloat8:
+		if f, err := strconv.ParseFloat(string(v), 64); err == nil {
+			return &pb.Value{Kind: &pb.Value_DoubleValue{DoubleValue: f}}
+		}
+	case pgwire.OIDBytea:
+		if digits, ok := bytes.CutPrefix(v, []byte(`\x`)); ok {
+			raw := make([]byte, hex.DecodedLen(len(digits)))
+			if _, err := hex.Decode(raw, digits); err == nil {
+				return &pb.Value{Kind: &pb.Value_BytesValue{BytesValue: raw}}
+			}
+		}
+	}
+	return &pb.Value{Kind: &pb.Value_TextValue{TextValue: string(v)}}
+}
+
+// parameter turns a typed value into its type and PostgreSQL's text form. Text goes without a type, so that
+// the db node infers it; ok is false for text that the protocol can't carry.
+func parameter(v *pb.Value) (oid uint32, text []byte, ok bool) {
+	switch k := v.GetKind().(type) {
+	case *pb.Value_BoolValue:
+		return pgwire.OIDBool, strconv.AppendBool(nil, k.BoolValue), true
+	case *pb.Value_IntValue:
+		return pgwire.OIDInt8, strconv.AppendInt(nil, k.IntValue, 10), true
+	case *pb.Value_DoubleValue:
+		return pgwire.OIDFloat8, strconv.AppendFloat(nil, k.DoubleValue, 'g', -1, 64), true
+	case *pb.Value_TextValue:
+		return 0, []byte(k.TextValue), plainText(k.TextValue)
+	case *pb.Value_BytesValue:
+		return pgwire.OIDBytea, append([]byte(`\x`), hex.EncodeToString(k.BytesValue)...), true
+	}
+	return 0, nil, true
+}
+
+var typeNames = pgtype.NewMap()
+
+func columnsOf(cols []pgwire.Column) []*pb.Column {
+	out := make([]*pb.Column, len(cols))
+	for i, c := range cols {
+		out[i] = &pb.Column{Name: c.Name, TypeOid: c.Type}
+		if t, ok := typeNames.TypeForOID(c.Type); ok {
+			out[i].TypeName = t.Name
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/server/service.go
@@ -0,0 +1,237 @@
+package server
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"umberladder/balance"
+	"umberladder/driver"
+	"umberladder/pgwire"
+	pb "umberladder/proto/umberladder/v1"
+	"umberladder/settings"
+	"umberladder/token"
+)
+
+// service is the gRPC face of a driver.
+type service struct {
+	pb.UnimplementedDriverServer
+	loop     *loop
+	settings *settings.Settings
+	metrics  *metrics
+}
+
+// Execute implements pb.DriverServer.
+func (s *service) Execute(ctx context.Context, req *pb.ExecuteRequest) (*pb.ExecuteResponse, error) {
+	ask, c, err := s.prepare(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	a, err := s.await(ctx, ask, c, nil)
+	s.metrics.answered(req.Class, a, err, time.Since(began))
+	if err != nil {
+		return nil, err
+	}
+	rep := a.Payload.(*reply)
+	switch {
+	case rep.fault != nil:
+		return nil, sqlStatus(rep.fault)
+	case rep.tooBig:
+		return nil, detailed(codes.OutOfRange, "the result is larger than pool max-result; read it with ExecuteStream",
+			info(reasonSize, nil))
+	}
+	return &pb.ExecuteResponse{Columns: columnsOf(rep.cols), Rows: rep.rows, CommandTag: rep.done,
+		Token: a.Token.String(), Served: servedOf(&a)}, nil
+}
+
+// ExecuteStream implements pb.DriverServer.
+func (s *service) ExecuteStream(req *pb.ExecuteRequest, out pb.Driver_ExecuteStreamServer) error {
+	ask, c, err := s.prepare(out.Context(), req)
+	if err != nil {
+		return err
+	}
+	if s.settings.Classes[ask.Class].Effect != balance.Safe {
+		return badRequest("class", "%q is not safe to repeat; only reads are streamed", req.Class)
+	}
+	ctx, cancel := context.WithCancel(out.Context())
+	defer cancel()
+	c.ctx, c.opened = ctx, make(chan opening, 1)
+	began := time.Now()
+	var rows uint64
+	a, err := s.await(ctx, ask, c, func(row *pb.Row, o *opening) error {
+		if o != nil {
+			return out.Send(&pb.ExecuteChunk{Part: &pb.ExecuteChunk_Columns_{Columns: &pb.ExecuteChunk_Columns{
+				Columns: columnsOf(o.stream.cols), Served: servedOf(&o.answer)}}})
+		}
+		rows++
+		return out.Send(&pb.ExecuteChunk{Part: &pb.ExecuteChunk_Row{Row: row}})
+	})
+	s.metrics.answered(req.Class, a, err, time.Since(began))
+	if err != nil {
+		return err
+	}
+	st := a.Payload.(*stream)
+	if st.fault != nil {
+		return sqlStatus(st.fault)
+	}
+	return out.Send(&pb.ExecuteChunk{Part: &pb.ExecuteChunk_End_{End: &pb.ExecuteChunk_End{
+		CommandTag: st.done, Token: a.Token.String(), Rows: rows}}})
+}
+
+// await hands a call to the loop and waits for its final answer, passing a streamed one on as it comes. An
+// error is the status to return.
+func (s *service) await(ctx context.Context, ask driver.Ask, c *call, pass func(*pb.Row, *opening) error) (driver.Answer, error) {
+	id, ok := s.loop.calls.add(c)
+	if !ok {
+		a := driver.Answer{Status: driver.Refused, Cause: driver.CauseStopping}
+		return a, statusOf(&a)
+	}
+	s.loop.inbox.put(driver.Event{Kind: driver.EventRequest, Request: id, Ask: ask})
+	var rows chan *pb.Row
+	leave := func(err error) (driver.Answer, error) {
+		s.loop.calls.drop(id)
+		s.loop.inbox.put(driver.Event{Kind: driver.EventLeft, Request: id})
+		return driver.Answer{}, err
+	}
+	for {
+		select {
+		case o := <-c.opened:
+			rows = o.stream.rowsCh
+			if err := pass(nil, &o); err != nil {
+				return leave(err)
+			}
+		case row := <-rows:
+			if err := pass(row, nil); err != nil {
+				return leave(err)
+			}
+		case a := <-c.final:
+			return a, s.finish(c, &a, rows, pass)
+		case <-ctx.Done():
+			return leave(status.FromContextError(ctx.Err()).Err())
+		}
+	}
+}
+
+// finish passes on what a streamed answer still holds; its end was told after its last row.
+func (s *service) finish(c *call, a *driver.Answer, rows chan *pb.Row, pass func(*pb.Row, *opening) error) error {
+	if c.ctx == nil || a.Status != driver.Served {
+		return statusOf(a)
+	}
+	select {
+	case o := <-c.opened:
+		rows = o.stream.rowsCh
+		if err := pass(nil, &o); err != nil {
+			return err
+		}
+	default:
+	}
+	for rows != nil {
+		select {
+		case row := <-rows:
+			if err := pass(row, nil); err != nil {
+				return err
+			}
+		default:
+			return nil
+		}
+	}
+	return nil
+}
+
+// prepare checks a request and turns it into what engine and connection need.
+func (s *service) prepare(ctx context.Context, req *pb.ExecuteRequest) (driver.Ask, *call, error) {
+	class := slices.IndexFunc(s.settings.Classes, func(c settings.Class) bool { return c.Name == req.Class })
+	if class < 0 {
+		return driver.Ask{}, nil, badRequest("class", "%q is not configured; known: %s", req.Class, s.classNames())
+	}
+	ask := driver.Ask{Class: class, Slice: req.Slice, Session: req.Session}
+	var err error
+	if ask.Token, err = takeToken(req.Token, req.Slice); err != nil {
+		return ask, nil, err
+	}
+	c := &call{most: s.settings.MaxResult, final: make(chan driver.Answer, 1)}
+	if c.st, err = s.statement(req, &s.settings.Classes[class]); err != nil {
+		return ask, nil, err
+	}
+	ask.Deadline, err = s.deadline(ctx, req, &s.settings.Classes[class])
+	return ask, c, err
+}
+
+func (s *service) classNames() string {
+	var names []string
+	for _, c := range s.settings.Classes {
+		names = append(names, c.Name)
+	}
+	return strings.Join(names, ", ")
+}
+
+// takeToken reads the token of a request. One that says nothing of the request's slice is a mistake too: it
+// would be ignored otherwise, and the client would take an old answer for a new one.
+func takeToken(text, slice string) (token.Token, error) {
+	t, err := token.Parse(text)
+	if err != nil {
+		return t, badRequest("token", "%s", strings.TrimPrefix(err.Error(), "token: "))
+	}
+	if _, ok := t.At(slice); !ok && text != "" {
+		return t, badRequest("token", "it is of slice %s, the request of %q", strings.Join(t.Slices(), ", "), slice)
+	}
+	return t, nil
+}
+
+func (s *service) statement(req *pb.ExecuteRequest, class *settings.Class) (statement, error) {
+	switch {
+	case req.Slice == "":
+		return statement{}, badRequest("slice", "is empty")
+	case strings.TrimSpace(req.Statement) == "" || !plainText(req.Statement):
+		return statement{}, badRequest("statement", "is empty or holds a zero byte")
+	case class.Effect == balance.Keyed && req.IdempotencyKey == "":
+		return statement{}, badRequest("idempotency_key", "class %q is keyed and wants one", class.Name)
+	case !plainText(req.IdempotencyKey):
+		return statement{}, badRequest("idempotency_key", "holds a zero byte")
+	case len(req.Parameters) > 65534:
+		return statement{}, badRequest("parameters", "there are %d, 65534 at most", len(req.Parameters))
+	}
+	st := statement{sql: req.Statement}
+	for i, p := range req.Parameters {
+		oid, text, ok := parameter(p)
+		if !ok {
+			return st, badRequest("parameters", "$%d holds a zero byte; send it as bytes", i+1)
+		}
+		st.types, st.values = append(st.types, oid), append(st.values, text)
+	}
+	if class.Effect == balance.Keyed {
+		st.types, st.values = append(st.types, pgwire.OIDText), append(st.values, []byte(req.IdempotencyKey))
+	}
+	return st, nil
+}
+
+// deadline is when the client gives up: by its call's deadline, its wish, or the class's.
+func (s *service) deadline(ctx context.Context, req *pb.ExecuteRequest, class *settings.Class) (time.Duration, error) {
+	wait := class.Deadline
+	if at, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(at))
+	}
+	if req.Timeout != nil {
+		if err := req.Timeout.CheckValid(); err != nil || req.Timeout.AsDuration() <= 0 {
+			return 0, badRequest("timeout", "is no time above zero")
+		}
+		wait = min(wait, req.Timeout.AsDuration())
+	}
+	return s.loop.now() + wait, nil
+}
+
+func servedOf(a *driver.Answer) *pb.Served {
+	v := &pb.Served{Node: a.Node, Hall: a.Hall, Attempts: uint32(a.Attempts)}
+	if a.Facts.Known {
+		v.Role, v.Timeline, v.Lsn = pb.Role_ROLE_PRIMARY, a.Facts.Position.Timeline, a.Facts.Position.LSN
+		if a.Facts.Replica {
+			v.Role = pb.Role_ROLE_REPLICA
+		}
+	}
+	return v
+}
