--- /dev/null
+++ b/lab/client.go
@@ -0,0 +1,232 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "umberladder/proto/umberladder/v1"
+)
+
+// Verdict is what a client made of a call.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Served     Verdict = iota
+	Refused            // the driver promised that a further try is harmless
+	Failed             // the driver made no promise
+	Left               // the client gave up on purpose
+	Unanswered         // no driver's word came: its process ended, or the rule is broken
+)
+
+var verdictNames = [...]string{"served", "refused", "failed", "left", "unanswered"}
+
+func (v Verdict) String() string { return verdictNames[v] }
+
+// Call is one request as its client saw it.
+type Call struct {
+	Tag      string
+	Class    string
+	Slice    string
+	Session  string
+	Key      string
+	Driver   string
+	Sent     time.Time
+	Answered time.Time
+	Wait     time.Duration // what the driver was told the client waits
+	Verdict  Verdict
+	Text     string   // what came with a refusal or failure
+	After    []string // tags of the session's writes that were served before
+	Served   *pb.Served
+	Value    string
+}
+
+// Book collects the calls of all clients.
+type Book struct {
+	mu    sync.Mutex
+	calls []Call
+}
+
+func (b *Book) add(c Call) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.calls = append(b.calls, c)
+}
+
+// Calls is a copy of all calls so far.
+func (b *Book) Calls() []Call {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Call(nil), b.calls...)
+}
+
+// patience is how much longer than it says a client of the lab really waits, so that an answer that never
+// comes is told from one that comes late on a busy machine.
+const patience = 4 * time.Second
+
+// session is one reader account.
+type session struct {
+	name   string
+	fleet  *Fleet
+	book   *Book
+	rng    *rand.Rand
+	leaves float64 // share of calls that it gives up on in their midst
+	seq    int
+	tokens map[string]string   // by slice
+	writes map[string][]string // served ones, by slice
+}
+
+func newSession(f *Fleet, b *Book, n int, leaves float64) *session {
+	return &session{name: fmt.Sprintf("s%d", n), fleet: f, book: b, leaves: leaves,
+		rng: rand.New(rand.NewPCG(f.Spec.Seed, uint64(n))), tokens: map[string]string{}, writes: map[string][]string{}}
+}
+
+// live makes calls until ctx ends, a pause between them.
+func (s *session) live(ctx context.Context, pause time.Duration) {
+	for ctx.Err() == nil {
+		s.once(ctx)
+		wait := time.Duration((0.5 + s.rng.Float64()) * float64(pause))
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+var mix = []struct {
+	class string
+	share float64
+	wait  time.Duration
+}{{"article-read", 0.40, siteDeadline}, {"own-read", 0.28, siteDeadline}, {"write", 0.12, 3 * time.Second},
+	{"post", 0.08, siteDeadline}, {"desk-check", 0.08, siteDeadline}, {"stats", 0.04, 3 * time.Second}}
+
+func (s *session) once(ctx context.Context) {
+	draw, i := s.rng.Float64(), 0
+	for ; i < len(mix)-1 && draw >= mix[i].share; i++ {
+		draw -= mix[i].share
+	}
+	g := s.fleet.Groups[s.rng.IntN(len(s.fleet.Groups))]
+	d := s.fleet.Drivers[s.rng.IntN(len(s.fleet.Drivers))]
+	leave := time.Duration(0)
+	if s.rng.Float64() < s.leaves {
+		leave = time.Duration(s.rng.Float64() * float64(30*time.Millisecond))
+	}
+	s.call(ctx, d, g.Name, mix[i].class, mix[i].wait, leave)
+}
+
+// call makes one call and books it. With a leave time, the client gives up after it.
+func (s *session) call(ctx context.Context, d *Driver, slice, class string, wait, leave time.Duration) *Call {
+	client := d.Client()
+	if client == nil {
+		return nil // the front has noticed that the driver is gone
+	}
+	s.seq++
+	c := Call{Tag: fmt.Sprintf("%s-%d", s.name, s.seq), Class: class, Slice: slice, Session: s.name, Driver: d.Name,
+		Key: s.name, Wait: wait, After: append([]string(nil), s.writes[slice]...)}
+	req := s.request(&c)
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), wait+patience)
+	defer cancel()
+	if leave > 0 {
+		limit, cancel = context.WithTimeout(limit, leave)
+		defer cancel()
+	}
+	c.Sent = time.Now()
+	res, err := s.do(limit, client, req, &c)
+	c.Answered = time.Now()
+	c.Verdict, c.Text = verdictOf(err)
+	if c.Verdict == Unanswered && leave > 0 && (status.Code(err) == codes.DeadlineExceeded || status.Code(err) == codes.Canceled) {
+		c.Verdict = Left
+	}
+	if c.Verdict == Served {
+		s.heard(&c, res)
+	}
+	s.book.add(c)
+	return &c
+}
+
+func text(v string) *pb.Value { return &pb.Value{Kind: &pb.Value_TextValue{TextValue: v}} }
+
+func (s *session) request(c *Call) *pb.ExecuteRequest {
+	req := &pb.ExecuteRequest{Slice: c.Slice, Class: c.Class, Session: s.name, Token: s.tokens[c.Slice],
+		Timeout: durationpb.New(c.Wait), Parameters: []*pb.Value{text(c.Key), text(c.Tag)},
+		Statement: "select value, lsn from kv where key = $1 and $2 <> ''"}
+	switch c.Class {
+	case "write":
+		req.Statement = "insert into kv (key, value) values ($1, $2)"
+	case "post":
+		req.Statement, req.IdempotencyKey = "insert into kv (key, value) values ($1, $2) returning idem($3)", "k-"+c.Tag
+	case "stats":
+		req.Statement = "select n from generate_series(1, $1) where $2 <> ''"
+		req.Parameters[0] = &pb.Value{Kind: &pb.Value_IntValue{IntValue: 200}}
+	}
+	return req
+}
+
+// do makes the call; statistics come as a stream.
+func (s *session) do(ctx context.Context, client pb.DriverClient, req *pb.ExecuteRequest, c *Call) (*pb.ExecuteResponse, error) {
+	if c.Class != "stats" {
+		return client.Execute(ctx, req, grpc.WaitForReady(false))
+	}
+	stream, err := client.ExecuteStream(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	res := &pb.ExecuteResponse{}
+	for rows := uint64(0); ; {
+		chunk, err := stream.Recv()
+		if err != nil {
+			return nil, err
+		}
+		switch p := chunk.Part.(type) {
+		case *pb.ExecuteChunk_Columns_:
+			res.Served = p.Columns.Served
+		case *pb.ExecuteChunk_Row:
+			rows++
+		case *pb.ExecuteChunk_End_:
+			if p.End.Rows != rows {
+				return nil, fmt.Errorf("%d rows came of %d", rows, p.End.Rows)
+			}
+			res.Token = p.End.Token
+			return res, nil
+		}
+	}
+}
+
+func (s *session) heard(c *Call, res *pb.ExecuteResponse) {
+	c.Served = res.Served
+	if c.Class != "stats" {
+		s.tokens[c.Slice] = res.Token
+	}
+	if len(res.Rows) > 0 {
+		c.Value = res.Rows[0].Values[0].GetTextValue()
+	}
+	if c.Class == "write" || c.Class == "post" {
+		s.writes[c.Slice] = append(s.writes[c.Slice], c.Tag)
+	}
+}
+
+// verdictOf reads a status: only the driver's own word carries its domain.
+func verdictOf(err error) (Verdict, string) {
+	if err == nil {
+		return Served, ""
+	}
+	st := status.Convert(err)
+	for _, d := range st.Details() {
+		if info, ok := d.(*errdetails.ErrorInfo); ok && info.Domain == "umberladder" {
+			if info.Reason == "REFUSED" {
+				return Refused, st.Message()
+			}
+			return Failed, st.Message()
+		}
+	}
+	return Unanswered, st.Code().String() + ": " + st.Message()
+}
--- /dev/null
+++ b/lab/fleet.go
@@ -0,0 +1,309 @@
+// Package lab plays whole days on loopback: drivers, stand-in db nodes and clients in one process, with
+// faults injected by a seed, judged by the traffic seen at the stand-ins and the clients alone.
+package lab
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"umberladder/balance"
+	pb "umberladder/proto/umberladder/v1"
+	"umberladder/server"
+	"umberladder/settings"
+	"umberladder/standin"
+)
+
+// Spec says what a fleet is made of.
+type Spec struct {
+	Slices  int
+	Members int // nodes of a slice, the primary among them
+	Drivers int
+	Node    standin.Config
+	Extra   string // further lines of the drivers' settings
+	Log     *zap.Logger
+	Seed    uint64
+}
+
+// The site that the fleets of this package play: the users' classes with times that suit short runs.
+const (
+	siteBound    = 200 * time.Millisecond
+	siteGrace    = 500 * time.Millisecond
+	siteFall     = time.Second
+	siteTip      = 3.0
+	siteWindow   = 2 * time.Second
+	siteDeadline = 1500 * time.Millisecond
+	siteSettings = `
+class article-read {
+    effect safe
+    need bounded 200ms
+    target 400ms
+    deadline 1500ms
+    worth 2
+}
+class own-read {
+    effect safe
+    need session
+    target 250ms
+    deadline 1500ms
+}
+class desk-check {
+    effect safe
+    need fresh
+    target 400ms
+    deadline 1500ms
+}
+class write {
+    effect unsafe
+    need write
+    target 500ms
+    deadline 3s
+    worth 6
+    late-worth 50%
+}
+class post {
+    effect keyed
+    window 2s
+    need write
+    target 500ms
+    deadline 1500ms
+    worth 6
+    late-worth 50%
+}
+class stats {
+    effect safe
+    need any
+    target 1s
+    deadline 3s
+}
+drain grace 500ms
+cold from 20%
+cold fall 1s
+cold tip 3
+answers margin 50ms
+attempts cancel-work on
+pool linger 4s
+stop within 4s
+`
+)
+
+// Driver is one driver of a fleet. It keeps its name over restarts.
+type Driver struct {
+	Name string
+
+	mu      sync.Mutex
+	server  *server.Server
+	client  *grpc.ClientConn
+	done    chan error
+	stop    context.CancelFunc
+	started time.Time
+	ended   []span // its lives that are over
+}
+
+// span is a life of a driver.
+type span struct{ from, to time.Time }
+
+// Notice is a change of the list as a driver was told it.
+type Notice struct {
+	Driver string
+	Node   string
+	Life   balance.Life
+	At     time.Time
+}
+
+// Fleet is what runs.
+type Fleet struct {
+	Spec    Spec
+	Trace   *standin.Trace
+	Groups  []*standin.Group
+	Drivers []*Driver
+
+	mu      sync.Mutex
+	nodes   []settings.Node
+	notices []Notice
+	starts  uint64
+}
+
+// NewFleet starts stand-ins and drivers. Close ends them.
+func NewFleet(spec Spec) (*Fleet, error) {
+	if spec.Log == nil {
+		spec.Log = zap.NewNop()
+	}
+	f := &Fleet{Spec: spec, Trace: standin.NewTrace()}
+	halls := []string{"reykjavik-a", "hafnarfjordur-b"}
+	for s := range spec.Slices {
+		g := standin.NewGroup(fmt.Sprintf("slice%d", s), siteWindow, f.Trace)
+		f.Groups = append(f.Groups, g)
+		for m := range spec.Members {
+			n, err := g.AddNode(fmt.Sprintf("db%d-%d", s, m), halls[m%2], spec.Node)
+			if err != nil {
+				f.Close()
+				return nil, err
+			}
+			f.nodes = append(f.nodes, settings.Node{Name: n.Name, Address: n.Addr(), Slice: g.Name, Hall: n.Hall})
+		}
+	}
+	for d := range spec.Drivers {
+		drv := &Driver{Name: fmt.Sprintf("driver%d", d)}
+		f.Drivers = append(f.Drivers, drv)
+		if err := f.Start(drv); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// Settings is what a driver of the fleet is told.
+func (f *Fleet) Settings(driver string) (*settings.Settings, error) {
+	text := siteSettings + "hall reykjavik-a hafnarfjordur-b\nhere reykjavik-a\nlisten grpc 127.0.0.1:0\n" +
+		fmt.Sprintf("routers %d\npool user %s\ncold ramp %s\n", f.Spec.Drivers, driver, f.Spec.Node.Ramp) + f.Spec.Extra
+	s, err := settings.Parse("lab", text)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.Nodes = append([]settings.Node(nil), f.nodes...)
+	return s, nil
+}
+
+// Start starts a driver that does not run. It knows the list as it is, and nothing else.
+func (f *Fleet) Start(d *Driver) error {
+	s, err := f.Settings(d.Name)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.starts++
+	seed := f.Spec.Seed*1000 + f.starts
+	f.mu.Unlock()
+	srv, err := server.New(s, f.Spec.Log.Named(d.Name), seed)
+	if err != nil {
+		return err
+	}
+	client, err := grpc.NewClient("passthrough:///"+srv.Addr(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	d.mu.Lock()
+	d.server, d.client, d.stop, d.done, d.started = srv, client, stop, done, time.Now()
+	d.mu.Unlock()
+	f.told(d.Name, s.Nodes)
+	go func() { done <- srv.Run(ctx) }()
+	return nil
+}
+
+// told notes what a driver was told of the nodes.
+func (f *Fleet) told(driver string, nodes []settings.Node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for _, n := range nodes {
+		f.notices = append(f.notices, Notice{Driver: driver, Node: n.Name, Life: n.Life, At: now})
+	}
+}
+
+// Notices is all that drivers were told.
+func (f *Fleet) Notices() []Notice {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]Notice(nil), f.notices...)
+}
+
+// List changes the list and tells every driver that runs.
+func (f *Fleet) List(change func(n *settings.Node)) {
+	f.mu.Lock()
+	for i := range f.nodes {
+		change(&f.nodes[i])
+	}
+	nodes := append([]settings.Node(nil), f.nodes...)
+	f.mu.Unlock()
+	for _, d := range f.Drivers {
+		if srv := d.running(); srv != nil {
+			srv.SetNodes(nodes)
+			f.told(d.Name, nodes)
+		}
+	}
+}
+
+func (d *Driver) running() *server.Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.server
+}
+
+// Client is a client of the driver, nil while it does not run.
+func (d *Driver) Client() pb.DriverClient {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.client == nil {
+		return nil
+	}
+	return pb.NewDriverClient(d.client)
+}
+
+// Kill ends a driver as if its process had died, Stop as by SIGTERM. Both return when it is gone.
+func (d *Driver) Kill() error { return d.end(true) }
+
+// Stop ends a driver as by SIGTERM.
+func (d *Driver) Stop() error { return d.end(false) }
+
+func (d *Driver) end(kill bool) error {
+	d.mu.Lock()
+	srv, client, stop, done := d.server, d.client, d.stop, d.done
+	if srv == nil {
+		d.mu.Unlock()
+		return nil
+	}
+	d.server, d.client = nil, nil
+	d.ended = append(d.ended, span{d.started, time.Now()})
+	d.mu.Unlock()
+	if kill {
+		srv.Kill()
+	}
+	stop()
+	err := <-done
+	client.Close()
+	return err
+}
+
+// aliveDuring tells whether one life of the driver covers a time.
+func (d *Driver) aliveDuring(from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.server != nil && !from.Before(d.started) {
+		return true
+	}
+	for _, s := range d.ended {
+		if !from.Before(s.from) && !to.After(s.to) {
+			return true
+		}
+	}
+	return false
+}
+
+// Close ends drivers and stand-ins, and tells what went wrong on the way.
+func (f *Fleet) Close() error {
+	var problems []string
+	for _, d := range f.Drivers {
+		if err := d.Stop(); err != nil {
+			problems = append(problems, d.Name+": "+err.Error())
+		}
+	}
+	for _, g := range f.Groups {
+		g.Close()
+	}
+	if len(problems) > 0 {
+		return fmt.Errorf("%s", strings.Join(problems, "; "))
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/node.go
@@ -0,0 +1,298 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+)
+
+// Config is how a node behaves when nothing is wrong.
+type Config struct {
+	Cores    int           // statements that run at once
+	Read     time.Duration // work of a read
+	Write    time.Duration // work of a write
+	Ship     time.Duration // until a replica has a record of the log
+	Apply    time.Duration // to replay one record
+	MaxConns int           // more connections are refused with 53300
+	ColdFrom float64       // share of its speed that it starts with
+	Ramp     time.Duration // until it is warm
+	Password string        // asked for by SCRAM-SHA-256; none if empty
+	Params   bool          // facts are told by parameters too, as with an extension
+}
+
+// Node is one db node.
+type Node struct {
+	Name  string
+	Hall  string
+	group *Group
+	cfg   Config
+	addr  string
+	slots chan struct{}
+
+	// Under the group's lock.
+	branch    *branch
+	applied   int
+	believes  bool // it takes itself for the primary
+	running   bool
+	hung      bool
+	slowApply float64
+
+	mu       sync.Mutex
+	run      *run
+	changed  *sync.Cond
+	refusing string // SQLSTATE for whoever connects or asks; "" for none
+	stalled  time.Time
+	slow     float64   // work takes so many times as long
+	cold     time.Time // since when it has been warming; zero for warm
+	cut      int       // bytes of answers until a connection is cut; 0 for never
+	nextConn uint64
+	conns    map[uint64]*session
+}
+
+// run is one life of a node's process.
+type run struct {
+	ctx      context.Context
+	end      context.CancelFunc
+	listener net.Listener
+	done     sync.WaitGroup
+}
+
+// AddNode adds a member and starts it, warm. The first is the primary.
+func (g *Group) AddNode(name, hall string, cfg Config) (*Node, error) {
+	n := &Node{Name: name, Hall: hall, group: g, cfg: cfg, slots: make(chan struct{}, max(1, cfg.Cores)),
+		conns: map[uint64]*session{}, addr: "127.0.0.1:0"}
+	n.changed = sync.NewCond(&n.mu)
+	g.mu.Lock()
+	n.branch = g.branch
+	n.applied = len(g.branch.records)
+	if g.primary == nil {
+		g.primary, n.believes = n, true
+	}
+	g.nodes = append(g.nodes, n)
+	g.mu.Unlock()
+	return n, n.start()
+}
+
+// Addr is where the node listens; it stays the same over restarts.
+func (n *Node) Addr() string { return n.addr }
+
+// Group is the slice that the node belongs to.
+func (n *Node) Group() *Group { return n.group }
+
+// Running tells whether the node's process runs.
+func (n *Node) Running() bool {
+	n.group.mu.Lock()
+	defer n.group.mu.Unlock()
+	return n.running
+}
+
+// Capacity is how many reads a second a warm node can do.
+func (c *Config) Capacity() float64 { return float64(c.Cores) / c.Read.Seconds() }
+
+func (n *Node) start() error {
+	l, err := net.Listen("tcp", n.addr)
+	if err != nil {
+		return fmt.Errorf("stand-in %s: %w", n.Name, err)
+	}
+	n.addr = l.Addr().String()
+	r := &run{listener: l}
+	r.ctx, r.end = context.WithCancel(context.Background())
+	n.mu.Lock()
+	n.run = r
+	n.mu.Unlock()
+	n.group.mu.Lock()
+	n.running, n.hung = true, false
+	n.group.mu.Unlock()
+	r.done.Add(2)
+	go n.apply(r)
+	go n.accept(r)
+	return nil
+}
+
+func (n *Node) accept(r *run) {
+	defer r.done.Done()
+	for {
+		nc, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		n.mu.Lock()
+		n.nextConn++
+		s := &session{node: n, nc: nc, run: r, id: n.nextConn, secret: uint32(n.nextConn*2654435761) | 1}
+		n.conns[s.id] = s
+		n.mu.Unlock()
+		if r.ctx.Err() != nil {
+			nc.Close() // it came while the process ended
+		}
+		n.group.trace.connected(n.Name, 1)
+		r.done.Add(1)
+		go func() {
+			defer r.done.Done()
+			s.serve()
+			n.mu.Lock()
+			delete(n.conns, s.id)
+			n.mu.Unlock()
+			n.group.trace.connected(n.Name, -1)
+		}()
+	}
+}
+
+// Die ends the node's process at once: connections break, its place in the log stays. It returns when all of
+// it is over.
+func (n *Node) Die() {
+	n.group.mu.Lock()
+	n.running = false
+	n.group.mu.Unlock()
+	n.mu.Lock()
+	r := n.run
+	n.run = nil
+	n.mu.Unlock()
+	if r == nil {
+		return
+	}
+	r.end()
+	r.listener.Close()
+	n.mu.Lock()
+	for _, s := range n.conns {
+		s.nc.Close()
+	}
+	n.changed.Broadcast()
+	n.mu.Unlock()
+	n.group.mu.Lock()
+	n.group.moved.Broadcast()
+	n.group.mu.Unlock()
+	r.done.Wait()
+}
+
+// Restart starts the node again after Die, cold, as a replica if its slice has another primary by now.
+func (n *Node) Restart() error {
+	g := n.group
+	g.mu.Lock()
+	n.believes = g.primary == n
+	if !n.believes {
+		n.follow(g.branch)
+	}
+	g.mu.Unlock()
+	n.mu.Lock()
+	n.cold, n.refusing, n.stalled, n.slow, n.cut = time.Now(), "", time.Time{}, 0, 0
+	at := n.cold
+	n.mu.Unlock()
+	if err := n.start(); err != nil {
+		return err
+	}
+	g.trace.started(Start{Node: n.Name, At: at, Cold: true})
+	return nil
+}
+
+// Hang makes the node accept everything and answer nothing, until told otherwise.
+func (n *Node) Hang(on bool) {
+	n.group.mu.Lock()
+	n.hung = on
+	n.group.moved.Broadcast()
+	n.group.mu.Unlock()
+	n.mu.Lock()
+	n.changed.Broadcast()
+	n.mu.Unlock()
+}
+
+// Stall makes the node stand still for a while.
+func (n *Node) Stall(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stalled = time.Now().Add(d)
+}
+
+// Slow makes work take so many times as long; 1 ends that.
+func (n *Node) Slow(times float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.slow = times
+}
+
+// Lag makes replaying the log take so many times as long; 1 ends that.
+func (n *Node) Lag(times float64) {
+	n.group.mu.Lock()
+	defer n.group.mu.Unlock()
+	n.slowApply = times
+}
+
+// Refuse makes the node turn connections and statements away with a SQLSTATE; "" ends that.
+func (n *Node) Refuse(sqlstate string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refusing = sqlstate
+}
+
+// CutAfter makes each connection break off in the middle of its answers after so many more bytes; 0 ends that.
+func (n *Node) CutAfter(bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = bytes
+}
+
+// Close ends the group's nodes.
+func (g *Group) Close() {
+	for _, n := range g.Nodes() {
+		n.Die()
+	}
+}
+
+// gate holds whoever wants to work while the node hangs or stands still; false once the process is over.
+func (n *Node) gate(r *run) bool {
+	for r.ctx.Err() == nil {
+		n.mu.Lock()
+		for n.isHung() && r.ctx.Err() == nil {
+			n.changed.Wait()
+		}
+		left := time.Until(n.stalled)
+		n.mu.Unlock()
+		if left <= 0 {
+			return r.ctx.Err() == nil
+		}
+		pause(r.ctx, left)
+	}
+	return false
+}
+
+func (n *Node) isHung() bool {
+	n.group.mu.Lock()
+	defer n.group.mu.Unlock()
+	return n.hung
+}
+
+// work holds a core for the time that a statement takes at the node's present speed.
+func (n *Node) work(r *run, cost time.Duration) bool {
+	select {
+	case n.slots <- struct{}{}:
+	case <-r.ctx.Done():
+		return false
+	}
+	defer func() { <-n.slots }()
+	pause(r.ctx, time.Duration(float64(cost)*n.slowness()))
+	return n.gate(r)
+}
+
+// slowness is how many times as long as usual work takes now.
+func (n *Node) slowness() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f := max(1, n.slow)
+	if age := time.Since(n.cold); !n.cold.IsZero() && age < n.cfg.Ramp {
+		f /= n.cfg.ColdFrom + (1-n.cfg.ColdFrom)*age.Seconds()/n.cfg.Ramp.Seconds()
+	}
+	return f
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/standin/sql.go
@@ -0,0 +1,214 @@
+package standin
+
+import (
+	"encoding/binary"
+	"strconv"
+	"strings"
+
+	"umberladder/pgwire"
+	"umberladder/position"
+)
+
+// sqlForm is one of the few statements that stand-ins understand, told by how it begins.
+type sqlForm struct {
+	prefix  string
+	kind    Kind
+	columns []pgwire.Column
+	params  []uint32
+}
+
+func column(name string, oid uint32, size int16) pgwire.Column {
+	return pgwire.Column{Name: name, Type: oid, Size: size, Mod: -1}
+}
+
+var forms = []sqlForm{
+	{"select pg_is_in_recovery", KindFacts, []pgwire.Column{column("replica", pgwire.OIDBool, 1),
+		column("lsn", pgwire.OIDPgLSN, 8), column("timeline", pgwire.OIDInt4, 4)}, nil},
+	// Reads: $1 is the key, $2 the client's mark.
+	{"select value, lsn from kv", KindRead, []pgwire.Column{column("value", pgwire.OIDText, -1),
+		column("lsn", pgwire.OIDInt8, 8)}, []uint32{pgwire.OIDText, pgwire.OIDText}},
+	// Writes: $1 is the key, $2 the value, which is also the mark, $3 the idempotency key if there is one.
+	{"insert into kv", KindWrite, nil, []uint32{pgwire.OIDText, pgwire.OIDText}},
+	// Many rows: $1 is how many, $2 the mark.
+	{"select n from generate_series", KindRead, []pgwire.Column{column("n", pgwire.OIDInt8, 8)},
+		[]uint32{pgwire.OIDInt8, pgwire.OIDText}},
+	{"select 1/0", KindOther, []pgwire.Column{column("x", pgwire.OIDInt4, 4)}, nil},
+	{"begin", KindOther, nil, nil},
+	{"copy", KindOther, nil, nil},
+}
+
+func formOf(sql string) *sqlForm {
+	words := strings.ToLower(strings.Join(strings.Fields(sql), " "))
+	for i := range forms {
+		if strings.HasPrefix(words, forms[i].prefix) {
+			return &forms[i]
+		}
+	}
+	return nil
+}
+
+func columnsOf(sql string) []pgwire.Column {
+	if f := formOf(sql); f != nil {
+		return append([]pgwire.Column(nil), f.columns...)
+	}
+	return nil
+}
+
+func paramTypes(sql string) []uint32 {
+	f := formOf(sql)
+	if f == nil {
+		return nil
+	}
+	types := append(append([]uint32(nil), f.params...), pgwire.OIDText)
+	n := 0
+	for n < len(types) && strings.Contains(sql, "$"+strconv.Itoa(n+1)) {
+		n++
+	}
+	return types[:n]
+}
+
+// facts is what a node says of itself.
+type facts struct {
+	replica bool
+	at      position.Position
+}
+
+func (n *Node) facts() facts {
+	n.group.mu.Lock()
+	defer n.group.mu.Unlock()
+	return facts{!n.believes, n.branch.at(n.applied)}
+}
+
+// statement runs one statement of a portal and appends its answer.
+func (s *session) statement(p portal) error {
+	f := formOf(p.sql)
+	if f == nil {
+		return s.fault("42601", "this stand-in does not understand the statement")
+	}
+	arg := func(i int) string {
+		if i < len(p.values) {
+			return p.values[i]
+		}
+		return ""
+	}
+	st := &Statement{Node: s.node.Name, Driver: s.user, Conn: s.id, Kind: f.kind, Key: arg(0), Tag: arg(1)}
+	s.node.group.trace.arrived(st)
+	if f.kind != KindFacts {
+		s.finish()
+		s.note(st, func(st *Statement) { s.current = st }) // cancel requests come on other connections
+	}
+	if !s.node.gate(s.run) {
+		return cutError{}
+	}
+	s.node.mu.Lock()
+	refusing := s.node.refusing
+	s.node.mu.Unlock()
+	if refusing != "" {
+		s.note(st, func(st *Statement) { st.Code = refusing })
+		if strings.HasPrefix(refusing, "57P0") && refusing != "57P03" {
+			s.fatal(refusing, "terminating connection due to administrator command")
+			return cutError{}
+		}
+		return s.fault(refusing, "refused")
+	}
+	switch f.kind {
+	case KindFacts:
+		return s.runFacts(p)
+	case KindRead:
+		return s.runRead(f, p, st, arg)
+	case KindWrite:
+		return s.runWrite(p, st, arg)
+	}
+	switch f.prefix {
+	case "begin":
+		s.tx = pgwire.TxOpen
+		s.out = pgwire.AppendCommandComplete(s.out, "BEGIN")
+	case "copy":
+		s.out = append(s.out, pgwire.MsgCopyInResponse, 0, 0, 0, 7, 0, 0, 0)
+		return s.flush()
+	default:
+		return s.fault("22012", "division by zero")
+	}
+	return nil
+}
+
+func (s *session) note(st *Statement, how func(*Statement)) { s.node.group.trace.change(st, how) }
+
+func (s *session) runFacts(p portal) error {
+	f := s.node.facts()
+	replica := "f"
+	if f.replica {
+		replica = "t"
+	}
+	_, lsn, _ := strings.Cut(f.at.String(), ":")
+	s.row(p, []pgwire.Column{{Type: pgwire.OIDText}, {Type: pgwire.OIDText}, {Type: pgwire.OIDText}},
+		replica, lsn, strconv.FormatUint(uint64(f.at.Timeline), 10))
+	s.out = pgwire.AppendCommandComplete(s.out, "SELECT 1")
+	return nil
+}
+
+func (s *session) row(p portal, columns []pgwire.Column, values ...string) {
+	row := make([][]byte, len(values))
+	for i, v := range values {
+		row[i] = []byte(v)
+		if n, err := strconv.ParseInt(v, 10, 64); err == nil && formatAt(p.formats, i) == 1 && columns[i].Type == pgwire.OIDInt8 {
+			row[i] = binary.BigEndian.AppendUint64(nil, uint64(n))
+		}
+	}
+	s.out = pgwire.AppendDataRow(s.out, row)
+}
+
+func (s *session) runRead(f *sqlForm, p portal, st *Statement, arg func(int) string) error {
+	n := s.node
+	if !n.work(s.run, n.cfg.Read) {
+		return cutError{}
+	}
+	n.group.mu.Lock()
+	value, lsn, found := n.branch.value(arg(0), n.applied)
+	at, replica := n.branch.at(n.applied), !n.believes
+	n.group.mu.Unlock()
+	s.note(st, func(st *Statement) { st.Ran, st.Position, st.Replica = true, at, replica })
+	if strings.HasPrefix(f.prefix, "select n") {
+		return s.series(f, p, arg(0))
+	}
+	rows := 0
+	if found {
+		rows = 1
+		s.row(p, f.columns, value, strconv.FormatUint(lsn, 10))
+	}
+	s.out = pgwire.AppendCommandComplete(s.out, "SELECT "+strconv.Itoa(rows))
+	return nil
+}
+
+func (s *session) series(f *sqlForm, p portal, count string) error {
+	n, _ := strconv.Atoi(count)
+	for i := range n {
+		s.row(p, f.columns, strconv.Itoa(i+1))
+		if len(s.out) > 1<<14 {
+			if err := s.flush(); err != nil {
+				return err
+			}
+		}
+	}
+	s.out = pgwire.AppendCommandComplete(s.out, "SELECT "+count)
+	return nil
+}
+
+func (s *session) runWrite(p portal, st *Statement, arg func(int) string) error {
+	n := s.node
+	if n.facts().replica {
+		s.note(st, func(st *Statement) { st.Code, st.Replica = "25006", true })
+		return s.fault("25006", "cannot execute INSERT in a read-only transaction")
+	}
+	if !n.work(s.run, n.cfg.Write) {
+		return cutError{}
+	}
+	if n.facts().replica {
+		s.note(st, func(st *Statement) { st.Code, st.Replica = "25006", true })
+		return s.fault("25006", "cannot execute INSERT in a read-only transaction")
+	}
+	at, ran := n.group.write(n, arg(0), arg(1), arg(2))
+	s.note(st, func(st *Statement) { st.Ran, st.Position = ran, at })
+	s.out = pgwire.AppendCommandComplete(s.out, "INSERT 0 1")
+	return nil
+}
