--- /dev/null
+++ b/driver/engine_test.go
@@ -0,0 +1,438 @@
+package driver
+
+import (
+	"testing"
+	"time"
+
+	"umberladder/position"
+	"umberladder/token"
+)
+
+func TestOrdinaryPath(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	w := r.ask(classWrite, token.Token{})
+	c := r.sent(w)
+	if c.Node != "p" || !c.Write {
+		t.Fatalf("the write went to %s, write %v", c.Node, c.Write)
+	}
+	r.nodes["p"].facts = primary(at(1, 1100))
+	r.reply(c)
+	a := r.answer(w)
+	if got, _ := a.Token.At("news"); a.Status != Served || got != at(1, 1100) {
+		t.Fatalf("answer %+v with token for %v", a, got)
+	}
+	read := r.ask(classArticle, token.Token{})
+	if c := r.sent(read); c.Node == "p" {
+		t.Error("an article-read went to the primary though replicas are as new")
+	} else {
+		r.reply(c)
+	}
+	if r.answer(read).Status != Served {
+		t.Error("the read was not served")
+	}
+	r.quiet()
+}
+
+// TestTokenNewerThanEveryReplica: it goes to the primary, or to a replica once that is proven to have it.
+func TestTokenNewerThanEveryReplica(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	tok := token.Token{}.With("news", at(1, 1500))
+	r.nodes["p"].facts = primary(at(1, 1500))
+	id := r.ask(classOwn, tok)
+	r.run(30 * ms)
+	c := r.sent(id)
+	if c.Node != "p" {
+		t.Fatalf("it went to %s, which stands at 1000", c.Node)
+	}
+	r.reply(c)
+	if got, _ := r.answer(id).Token.At("news"); got != at(1, 1500) {
+		t.Errorf("token for %v", got)
+	}
+	r.quiet()
+}
+
+// TestTokenFromTheFuture: a token that nobody has is never served stale.
+func TestTokenFromTheFuture(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	id := r.ask(classOwn, token.Token{}.With("news", at(1, 99999)))
+	for range 40 {
+		for _, c := range append([]Command(nil), r.sends...) {
+			r.reply(r.sent(c.Request))
+		}
+		r.run(30 * ms)
+	}
+	if a := r.answer(id); a.Status == Served {
+		t.Fatalf("served: %+v", a)
+	}
+	r.quiet()
+}
+
+// TestCommitWithoutPosition: the commit's answer came, its position's did not. It is served, and its token
+// asks for the present until more is known.
+func TestCommitWithoutPosition(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	w := r.ask(classWrite, token.Token{})
+	r.result(r.sent(w), Result{End: EndBroken, Began: true, Done: true})
+	a := r.answer(w)
+	got, _ := a.Token.At("news")
+	if a.Status != Served || got.LSN != position.Unknown {
+		t.Fatalf("answer %+v, token for %v", a, got)
+	}
+	id := r.ask(classOwn, a.Token)
+	r.run(30 * ms)
+	c := r.sent(id)
+	if c.Node != "p" {
+		t.Fatalf("the read that must see it went to %s", c.Node)
+	}
+	r.nodes["p"].facts = primary(at(1, 1200))
+	r.reply(c)
+	if got, _ := r.answer(id).Token.At("news"); got != at(1, 1200) {
+		t.Errorf("the token still asks for %v", got)
+	}
+	r.quiet()
+}
+
+// TestWriteCutAfterItsLastByte: it may have run, so it fails and never goes out again.
+func TestWriteCutAfterItsLastByte(t *testing.T) {
+	for _, res := range []Result{broken(false, ""), broken(true, ""), broken(true, "57P01")} {
+		r := newRig(t, testConfig(), fleetFacts())
+		w := r.ask(classWrite, token.Token{})
+		r.result(r.sent(w), res)
+		r.run(3 * time.Second)
+		if a := r.answer(w); a.Status != Failed || a.Attempts != 1 {
+			t.Errorf("%+v: answer %+v", res, a)
+		}
+		r.quiet()
+	}
+}
+
+// TestWriteThatNeverRanGoesAgain: a proof that nothing ran lets the same write go out again.
+func TestWriteThatNeverRanGoesAgain(t *testing.T) {
+	for _, res := range []Result{broken(false, "57P01"), {End: EndNotSent}} {
+		r := newRig(t, testConfig(), fleetFacts())
+		w := r.ask(classWrite, token.Token{})
+		r.result(r.sent(w), res)
+		r.run(300 * ms)
+		r.reply(r.sent(w))
+		if a := r.answer(w); a.Status != Served || a.Attempts != 2 {
+			t.Errorf("%+v: answer %+v", res, a)
+		}
+		r.quiet()
+	}
+}
+
+// TestReplyAfterTimeout: the client had its answer; the late reply changes nothing but frees the connection.
+func TestReplyAfterTimeout(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	w := r.ask(classWrite, token.Token{})
+	c := r.sent(w)
+	r.run(2100 * ms)
+	if a := r.answer(w); a.Status != Failed {
+		t.Fatalf("answer %+v", a)
+	}
+	if n := len(r.e.byName["p\x00p:1\x00news"].idle); n != 0 {
+		t.Errorf("%d connections idle with a reply pending", n)
+	}
+	r.reply(c)
+	if n := len(r.e.byName["p\x00p:1\x00news"].idle); n != 1 {
+		t.Errorf("%d connections idle after the reply", n)
+	}
+	r.answer(w)
+	r.quiet()
+}
+
+// TestLingerEnds: a connection whose reply never comes is closed.
+func TestLingerEnds(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	w := r.ask(classWrite, token.Token{})
+	r.sent(w)
+	r.run(8 * time.Second)
+	if n := r.e.byName["p\x00p:1\x00news"].busy; n != 0 {
+		t.Errorf("%d connections still busy", n)
+	}
+	r.quiet()
+}
+
+// TestClientLeavesInMidAttempt: no answer goes out, nothing is sent after, the connection is used again only
+// once its reply came.
+func TestClientLeavesInMidAttempt(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	w := r.ask(classWrite, token.Token{})
+	c := r.sent(w)
+	r.step(Event{Kind: EventLeft, Request: w})
+	if r.e.Held() != 0 {
+		t.Error("it is still held")
+	}
+	r.reply(c)
+	if len(r.answers[w]) != 0 {
+		t.Errorf("answers %+v", r.answers[w])
+	}
+	r.quiet()
+}
+
+// TestClientLeavesWhileDialing: the connection comes up later and must not carry the request.
+func TestClientLeavesWhileDialing(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	r.nodes["p"].deaf = true
+	w := r.ask(classWrite, token.Token{})
+	var dial Command
+	for id, name := range r.connAt {
+		if name == "p" && r.e.conns[id] != nil && r.e.conns[id].state == dialing {
+			dial.Conn = id
+		}
+	}
+	r.step(Event{Kind: EventLeft, Request: w})
+	r.step(Event{Kind: EventDialed, Conn: dial.Conn})
+	if r.isSent(w) {
+		t.Error("it was sent after its client left")
+	}
+	r.quiet()
+}
+
+// TestIdleConnectionDies: an exchange given to a connection that had just closed was not sent.
+func TestIdleConnectionDies(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	first := r.ask(classWrite, token.Token{})
+	r.reply(r.sent(first))
+	second := r.ask(classWrite, token.Token{})
+	c := r.sent(second)
+	r.step(Event{Kind: EventClosed, Conn: c.Conn})
+	r.run(300 * ms)
+	r.reply(r.sent(second))
+	if a := r.answer(second); a.Status != Served {
+		t.Errorf("answer %+v", a)
+	}
+	r.quiet()
+}
+
+// TestSupersededPrimary: one that answers as primary on a timeline that was left gets nothing more.
+func TestSupersededPrimary(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	r.nodes["r1"].facts = primary(at(2, 1010))
+	r.nodes["r2"].facts = replica(at(2, 1010))
+	r.run(2 * time.Second)
+	for range 20 {
+		w := r.ask(classWrite, token.Token{})
+		c := r.sent(w)
+		if c.Node != "r1" {
+			t.Fatalf("a write went to %s", c.Node)
+		}
+		r.reply(c)
+		r.run(50 * ms)
+	}
+	r.quiet()
+}
+
+// TestSupersededAnswerIsNotHandedOut: a read that was out at the old primary when the new one was heard.
+func TestSupersededAnswerIsNotHandedOut(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	id := r.ask(classDesk, token.Token{})
+	c := r.sent(id)
+	r.nodes["r1"].facts = primary(at(2, 1010))
+	r.run(400 * ms)
+	if len(r.answers[id]) == 0 {
+		r.reply(c)
+		r.run(time.Second)
+		if r.isSent(id) {
+			if c := r.sent(id); c.Node != "r1" {
+				t.Errorf("sent again to %s", c.Node)
+			}
+		} else if r.answer(id).Status == Served {
+			t.Error("served from the old primary")
+		}
+	}
+	r.quiet()
+}
+
+// TestStaleAnswerIsNotHandedOut: a replica was proven new and answers with older data, as after it was
+// replaced by a copy.
+func TestStaleAnswerIsNotHandedOut(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	id := r.ask(classArticle, token.Token{})
+	c := r.sent(id)
+	r.result(c, Result{Began: true, Done: true, Facts: replica(at(1, 10))})
+	if len(r.answers[id]) > 0 && r.answers[id][0].Status == Served {
+		t.Fatal("it was served")
+	}
+	r.run(20 * ms)
+	if again := r.sent(id); again.Node == c.Node {
+		t.Error("it went to the same replica again")
+	} else {
+		r.reply(again)
+	}
+	if r.answer(id).Status != Served {
+		t.Error("the second answer was not served")
+	}
+	r.quiet()
+}
+
+// TestStop: nothing new, what is held is answered, and the engine says when it is done.
+func TestStop(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	quick, slow := r.ask(classWrite, token.Token{}), r.ask(classWrite, token.Token{})
+	r.step(Event{Kind: EventStop, Until: r.now + 500*ms})
+	late := r.ask(classArticle, token.Token{})
+	if a := r.answer(late); a.Status != Refused || a.Cause != CauseStopping {
+		t.Errorf("new request: %+v", a)
+	}
+	r.reply(r.sent(quick))
+	if r.stopped {
+		t.Error("stopped with a request held")
+	}
+	r.run(600 * ms)
+	if a := r.answer(quick); a.Status != Served {
+		t.Errorf("held request: %+v", a)
+	}
+	if a := r.answer(slow); a.Status != Failed {
+		t.Errorf("write still out: %+v", a)
+	}
+	if !r.stopped {
+		t.Error("not stopped though all is answered")
+	}
+	r.quiet()
+}
+
+func TestMaxOpen(t *testing.T) {
+	cfg := testConfig()
+	cfg.MaxOpen = 3
+	r := newRig(t, cfg, fleetFacts())
+	for range 3 {
+		r.ask(classWrite, token.Token{})
+	}
+	if a := r.answer(r.ask(classWrite, token.Token{})); a.Status != Refused || a.Cause != CauseMaxOpen {
+		t.Errorf("the fourth: %+v", a)
+	}
+	r.quiet()
+}
+
+func TestUnknownSlice(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	r.step(Event{Kind: EventRequest, Request: 77, Ask: Ask{Slice: "olds", Deadline: r.now + time.Second}})
+	if a := r.answer(77); a.Status != Refused || a.Cause != CauseSlice {
+		t.Errorf("answer %+v", a)
+	}
+}
+
+// TestStreamBreaks: once rows went to the client the answer is its own; a break ends it, never a second try.
+func TestStreamBreaks(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	id := r.ask(classStats, token.Token{})
+	c := r.sent(id)
+	r.step(Event{Kind: EventOpened, Conn: c.Conn, Result: Result{Facts: r.nodes[c.Node].facts}})
+	r.run(3 * time.Second) // neither time-out nor deadline run on
+	if len(r.answers[id]) != 0 {
+		t.Fatalf("answered in the midst of its stream: %+v", r.answers[id])
+	}
+	r.result(c, broken(true, ""))
+	if a := r.answer(id); a.Status != Failed || a.Cause != CauseCut || r.isSent(id) {
+		t.Errorf("answer %+v, sent again %v", a, r.isSent(id))
+	}
+	r.quiet()
+}
+
+// TestStreamReaderLeaves: the connection is closed, as its rows have nowhere to go.
+func TestStreamReaderLeaves(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	id := r.ask(classStats, token.Token{})
+	c := r.sent(id)
+	r.step(Event{Kind: EventOpened, Conn: c.Conn, Result: Result{Facts: r.nodes[c.Node].facts}})
+	r.step(Event{Kind: EventLeft, Request: id})
+	if r.e.conns[c.Conn] != nil {
+		t.Error("the connection is still there")
+	}
+	r.quiet()
+}
+
+// TestPoolIsBounded: no more connections than the pool's size, and those that wait go out as they come free.
+func TestPoolIsBounded(t *testing.T) {
+	cfg := testConfig()
+	cfg.PoolSize = 2
+	r := newRig(t, cfg, fleetFacts())
+	var ids []RequestID
+	for range 6 {
+		ids = append(ids, r.ask(classWrite, token.Token{}))
+	}
+	if n := len(r.sends); n != 2 {
+		t.Fatalf("%d are out over a pool of 2", n)
+	}
+	for len(r.sends) > 0 {
+		r.run(5 * ms)
+		r.reply(r.sent(r.sends[0].Request))
+		if len(r.sends) > 2 {
+			t.Fatalf("%d are out", len(r.sends))
+		}
+	}
+	for _, id := range ids {
+		if a := r.answer(id); a.Status != Served {
+			t.Errorf("request %d: %+v", id, a)
+		}
+	}
+	r.quiet()
+}
+
+// TestDriverSessions: without tokens, a session's read sees what the session wrote through this driver.
+func TestDriverSessions(t *testing.T) {
+	cfg := testConfig()
+	cfg.DriverSessions = true
+	r := newRig(t, cfg, fleetFacts())
+	w := r.ask(classWrite, token.Token{})
+	r.nodes["p"].facts = primary(at(1, 1100))
+	r.reply(r.sent(w))
+	id := r.ask(classOwn, token.Token{})
+	r.run(30 * ms)
+	if c := r.sent(id); c.Node != "p" {
+		t.Errorf("it went to %s, which stands at 1000", c.Node)
+	}
+	r.quiet()
+}
+
+func TestSessionsAreForgottenSafely(t *testing.T) {
+	var s sessions
+	s.place = func(string, time.Duration) (position.Position, bool) { return position.Position{}, false }
+	s.wrote("news", "old", at(1, 500), 0)
+	s.wrote("news", "new", at(1, 900), sessionKeep+time.Second)
+	s.wrote("news", "new", at(1, 910), sessionKeep+2*time.Second)
+	if _, known := s.known[sessionKey{"news", "old"}]; known {
+		t.Error("the old session is still kept")
+	}
+	if got := s.needs("news", "old"); got != at(1, 500) {
+		t.Errorf("a forgotten session needs %v", got)
+	}
+	if got := s.needs("news", "never heard of"); got != at(1, 500) {
+		t.Errorf("an unknown session needs %v; it may be the forgotten one", got)
+	}
+}
+
+// TestRefusedConnections: full nodes are told as full, not as dead.
+func TestRefusedConnections(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	r.nodes["p"].deaf = true
+	w := r.ask(classWrite, token.Token{})
+	for id, c := range r.e.conns {
+		if c.state == dialing {
+			r.step(Event{Kind: EventDialed, Conn: id, Dial: &DialError{Full: true, Err: errFull{}}})
+			break
+		}
+	}
+	r.nodes["p"].deaf = false
+	r.run(500 * ms)
+	if !r.isSent(w) && len(r.answers[w]) == 0 {
+		t.Error("the write is neither out nor answered")
+	}
+	r.quiet()
+}
+
+type errFull struct{}
+
+func (errFull) Error() string { return "too many connections" }
+
+func TestConfigIsChecked(t *testing.T) {
+	if _, err := New(Config{}, 1); err == nil {
+		t.Error("an empty configuration was taken")
+	}
+	cfg := testConfig()
+	cfg.Router.Classes = nil
+	if _, err := New(cfg, 1); err == nil {
+		t.Error("a configuration without classes was taken")
+	}
+}
--- /dev/null
+++ b/driver/outcome_test.go
@@ -0,0 +1,49 @@
+package driver
+
+import (
+	"testing"
+
+	"umberladder/balance"
+	"umberladder/pgwire"
+)
+
+// TestOutcomes has a case for each row of the table at Judge.
+func TestOutcomes(t *testing.T) {
+	sql := func(code string) *pgwire.Error { return &pgwire.Error{Severity: "ERROR", Code: code, Message: "m"} }
+	replica := Facts{Known: true, Replica: true}
+	for _, c := range []struct {
+		name    string
+		result  Result
+		outcome balance.Outcome
+		answers bool
+	}{
+		{"not written", Result{End: EndNotSent}, balance.OutcomeConnectFailed, false},
+		{"cut before anything came back", Result{End: EndBroken}, balance.OutcomeReset, false},
+		{"cut in the midst of the answer", Result{End: EndBroken, Began: true}, balance.OutcomeReset, false},
+		{"cut after the commit was answered", Result{End: EndBroken, Began: true, Done: true}, balance.OutcomeOK, true},
+		{"whole", Result{Began: true, Done: true}, balance.OutcomeOK, true},
+		{"a poll's answer", Result{Facts: replica}, balance.OutcomeOK, true},
+		{"a replica asked to write", Result{Began: true, Err: sql("25006")}, balance.OutcomeMiss, false},
+		{"too many connections", Result{End: EndBroken, Err: sql("53300")}, balance.OutcomeFull, false},
+		{"cannot connect now", Result{End: EndBroken, Err: sql("57P03")}, balance.OutcomeFull, false},
+		{"shutdown before the statement began", Result{End: EndBroken, Err: sql("57P01"), Asking: true}, balance.OutcomeConnectFailed, false},
+		{"shutdown after the statement began", Result{End: EndBroken, Began: true, Err: sql("57P01")}, balance.OutcomeReset, false},
+		{"crash before the statement began", Result{End: EndBroken, Err: sql("57P02")}, balance.OutcomeConnectFailed, false},
+		{"crash after the statement began", Result{End: EndBroken, Began: true, Err: sql("57P02")}, balance.OutcomeReset, false},
+		{"canceled", Result{Began: true, Err: sql("57014")}, balance.OutcomeCancelled, false},
+		{"conflict with recovery", Result{Began: true, Err: sql("40001"), Facts: replica}, balance.OutcomeError, false},
+		{"serialization failure at the primary", Result{Began: true, Err: sql("40001"), Facts: Facts{Known: true}}, balance.OutcomeOK, true},
+		{"deadlock with recovery", Result{Began: true, Err: sql("40P01"), Facts: replica}, balance.OutcomeError, false},
+		{"disk full", Result{Began: true, Err: sql("53100")}, balance.OutcomeError, false},
+		{"system error", Result{Began: true, Err: sql("58030")}, balance.OutcomeError, false},
+		{"internal error", Result{Began: true, Err: sql("XX000")}, balance.OutcomeError, false},
+		{"the driver's question was refused", Result{Err: sql("42501"), Asking: true}, balance.OutcomeError, false},
+		{"unique violation", Result{Began: true, Err: sql("23505")}, balance.OutcomeOK, true},
+		{"syntax error", Result{Err: sql("42601")}, balance.OutcomeOK, true},
+		{"an error of the statement on a connection that then broke", Result{End: EndBroken, Began: true, Err: sql("23505")}, balance.OutcomeReset, false},
+	} {
+		if got := Judge(&c.result); got.Outcome != c.outcome || got.Answers != c.answers {
+			t.Errorf("%s: %+v, want outcome %v, answers %v", c.name, got, c.outcome, c.answers)
+		}
+	}
+}
--- /dev/null
+++ b/driver/rig_test.go
@@ -0,0 +1,218 @@
+package driver
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"umberladder/balance"
+	"umberladder/pgwire"
+	"umberladder/position"
+	"umberladder/token"
+)
+
+const ms = time.Millisecond
+
+func testConfig() Config {
+	return Config{
+		Router: balance.Config{
+			Classes: []balance.Class{
+				{Name: "article-read", Effect: balance.Safe, Need: balance.NeedBounded, Bound: 200 * ms, Target: 400 * ms, Deadline: time.Second, Worth: 2},
+				{Name: "own-read", Effect: balance.Safe, Need: balance.NeedSession, Target: 250 * ms, Deadline: time.Second, Worth: 1},
+				{Name: "write", Effect: balance.Unsafe, Need: balance.NeedWrite, Target: 500 * ms, Deadline: 2 * time.Second, Worth: 6, LateWorth: 0.5},
+				{Name: "desk-check", Effect: balance.Safe, Need: balance.NeedFresh, Target: 400 * ms, Deadline: time.Second, Worth: 1},
+				{Name: "post", Effect: balance.Keyed, Need: balance.NeedWrite, Window: time.Second, Target: 500 * ms, Deadline: 2 * time.Second, Worth: 6},
+				{Name: "stats", Effect: balance.Safe, Need: balance.NeedAny, Target: 500 * ms, Deadline: 2 * time.Second, Worth: 1},
+			},
+			Routers: 1, Round: ms, Positions: true, DrainGrace: 500 * ms, AnswerSlack: 20 * ms, ColdFrom: 0.2,
+			RampTime: 10 * time.Second, TipMultiple: 3, Fall: time.Second, Cancel: true, Probing: true, TryLimit: 10,
+			RetryAfter: true, MaxRetryAfter: time.Second, DialTimeout: 250 * ms,
+		},
+		Halls: []string{"a"}, MaxOpen: 1000, PoolSize: 8, IdleClose: 30 * time.Second, Linger: 5 * time.Second,
+		PollTimeout: 250 * ms, ClockAge: 50 * ms, AnswerMargin: 20 * ms,
+	}
+}
+
+const (
+	classArticle = iota
+	classOwn
+	classWrite
+	classDesk
+	classPost
+	classStats
+)
+
+// fakeNode is what a node does in a rig: connections come up at once and exchanges wait for the test, but
+// questions for facts are answered at once unless it is silent.
+type fakeNode struct {
+	facts  Facts
+	silent bool
+	deaf   bool // no connection comes up
+}
+
+// rig drives an engine by hand in virtual time.
+type rig struct {
+	t       *testing.T
+	e       *Engine
+	now     time.Duration
+	nodes   map[string]*fakeNode
+	connAt  map[ConnID]string
+	sends   []Command // exchanges of requests that wait for their result
+	answers map[RequestID][]Answer
+	log     []string
+	lastReq RequestID
+	pending []Event
+	stopped bool
+}
+
+func newRig(t *testing.T, cfg Config, nodes map[string]Facts) *rig {
+	t.Helper()
+	e, err := New(cfg, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, e: e, now: time.Hour, nodes: map[string]*fakeNode{}, connAt: map[ConnID]string{}, answers: map[RequestID][]Answer{}}
+	var list []Node
+	for _, name := range []string{"p", "r1", "r2"} {
+		if f, ok := nodes[name]; ok {
+			r.nodes[name] = &fakeNode{facts: f}
+			list = append(list, Node{Name: name, Address: name + ":1", Slice: "news", Hall: "a"})
+		}
+	}
+	r.step(Event{Kind: EventList, List: balance.ListCached, Nodes: list})
+	r.run(50 * ms)
+	return r
+}
+
+func at(tl uint32, lsn uint64) position.Position { return position.Position{Timeline: tl, LSN: lsn} }
+
+func primary(p position.Position) Facts { return Facts{Known: true, Position: p} }
+func replica(p position.Position) Facts { return Facts{Known: true, Replica: true, Position: p} }
+
+func (r *rig) step(events ...Event) {
+	r.do(r.e.Step(r.now, append(r.pending, events...), nil))
+	for len(r.pending) > 0 {
+		events := r.pending
+		r.pending = nil
+		r.do(r.e.Step(r.now, events, nil))
+	}
+}
+
+func (r *rig) do(cmds []Command) {
+	r.pending = nil
+	for _, c := range cmds {
+		switch c.Kind {
+		case CommandDial:
+			r.connAt[c.Conn] = c.Node
+			if !r.nodes[c.Node].deaf {
+				r.pending = append(r.pending, Event{Kind: EventDialed, Conn: c.Conn})
+			}
+		case CommandAsk:
+			if n := r.nodes[r.connAt[c.Conn]]; !n.silent {
+				r.pending = append(r.pending, Event{Kind: EventResult, Conn: c.Conn, Result: Result{Facts: n.facts}})
+			}
+		case CommandSend:
+			if len(r.answers[c.Request]) > 0 {
+				r.t.Errorf("request %d was sent to %s after its final answer", c.Request, c.Node)
+			}
+			r.sends = append(r.sends, c)
+		case CommandAnswer:
+			r.answers[c.Request] = append(r.answers[c.Request], c.Answer)
+			if n := len(r.answers[c.Request]); n > 1 {
+				r.t.Errorf("request %d has %d final answers", c.Request, n)
+			}
+		case CommandStopped:
+			r.stopped = true
+		}
+		r.log = append(r.log, fmt.Sprintf("%v kind %d conn %d request %d node %s", r.now, c.Kind, c.Conn, c.Request, c.Node))
+	}
+}
+
+// run lets time pass, waking the engine when it wants.
+func (r *rig) run(d time.Duration) {
+	for end := r.now + d; ; {
+		at, ok := r.e.Wake()
+		if !ok || at > end {
+			r.now = end
+			return
+		}
+		r.now = max(r.now, at)
+		r.step()
+	}
+}
+
+func (r *rig) ask(class int, tok token.Token) RequestID {
+	r.lastReq++
+	r.step(Event{Kind: EventRequest, Request: r.lastReq, Ask: Ask{Class: class, Slice: "news", Session: "s",
+		Token: tok, Deadline: r.now + r.e.cfg.Router.Classes[class].Deadline}})
+	return r.lastReq
+}
+
+// sent is the exchange of a request that waits for its result; it fails the test if there is none.
+func (r *rig) sent(id RequestID) Command {
+	r.t.Helper()
+	for i, c := range r.sends {
+		if c.Request == id {
+			r.sends = append(r.sends[:i], r.sends[i+1:]...)
+			return c
+		}
+	}
+	r.t.Fatalf("request %d was not sent", id)
+	return Command{}
+}
+
+func (r *rig) isSent(id RequestID) bool {
+	for _, c := range r.sends {
+		if c.Request == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *rig) result(c Command, res Result) {
+	r.step(Event{Kind: EventResult, Conn: c.Conn, Result: res})
+}
+
+// reply ends an exchange well, with the facts that its node stands for.
+func (r *rig) reply(c Command) {
+	r.result(c, Result{Began: true, Done: true, Facts: r.nodes[c.Node].facts})
+}
+
+func (r *rig) answer(id RequestID) Answer {
+	r.t.Helper()
+	if len(r.answers[id]) != 1 {
+		r.t.Fatalf("request %d has %d final answers", id, len(r.answers[id]))
+	}
+	return r.answers[id][0]
+}
+
+// quiet lets everything end and checks that nothing is left behind.
+func (r *rig) quiet() {
+	r.t.Helper()
+	for _, c := range r.sends {
+		r.result(c, Result{End: EndBroken})
+	}
+	r.sends = nil
+	r.run(time.Minute)
+	if len(r.e.requests) > 0 || r.e.held != 0 {
+		r.t.Errorf("%d requests known, %d held after all was quiet", len(r.e.requests), r.e.held)
+	}
+	for _, n := range r.e.nodes {
+		if n.busy != 0 || n.dials != 0 || len(n.queue) != 0 || len(n.idle) != 0 {
+			r.t.Errorf("node %s: %d busy, %d dials, %d queued, %d idle after all was quiet", n.listed.Name, n.busy, n.dials, len(n.queue), len(n.idle))
+		}
+	}
+}
+
+func fleetFacts() map[string]Facts {
+	return map[string]Facts{"p": primary(at(1, 1000)), "r1": replica(at(1, 1000)), "r2": replica(at(1, 1000))}
+}
+
+func broken(began bool, code string) Result {
+	r := Result{End: EndBroken, Began: began}
+	if code != "" {
+		r.Err = &pgwire.Error{Severity: "FATAL", Code: code, Message: "m"}
+	}
+	return r
+}
--- a/lab/client.go
+++ b/lab/client.go
@@ -136,14 +136,17 @@
 	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), wait+patience)
 	defer cancel()
 	if leave > 0 {
-		limit, cancel = context.WithTimeout(limit, leave)
-		defer cancel()
+		// It leaves unannounced: a deadline would be told to the driver beforehand.
+		var quit context.CancelFunc
+		limit, quit = context.WithCancel(limit)
+		defer time.AfterFunc(leave, quit).Stop()
+		defer quit()
 	}
 	c.Sent = time.Now()
 	res, err := s.do(limit, client, req, &c)
 	c.Answered = time.Now()
 	c.Verdict, c.Text = verdictOf(err)
-	if c.Verdict == Unanswered && leave > 0 && (status.Code(err) == codes.DeadlineExceeded || status.Code(err) == codes.Canceled) {
+	if c.Verdict == Unanswered && leave > 0 && status.Code(err) == codes.Canceled {
 		c.Verdict = Left
 	}
 	if c.Verdict == Served {
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -307,3 +307,14 @@
 	}
 	return nil
 }
+
+// Add lists a further node and tells every driver that runs. The node is whatever listens at its address.
+func (f *Fleet) Add(n settings.Node) {
+	f.mu.Lock()
+	f.nodes = append(f.nodes, n)
+	f.mu.Unlock()
+	f.List(func(*settings.Node) {})
+}
+
+// Addr is where the driver serves clients; it differs from life to life.
+func (d *Driver) Addr() string { return d.running().Addr() }
--- /dev/null
+++ b/server/server_test.go
@@ -0,0 +1,403 @@
+package server_test
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/status"
+
+	"umberladder/lab"
+	"umberladder/pgwire"
+	"umberladder/position"
+	pb "umberladder/proto/umberladder/v1"
+	"umberladder/server"
+	"umberladder/settings"
+	"umberladder/standin"
+	"umberladder/token"
+)
+
+func newFleet(t *testing.T, spec lab.Spec) *lab.Fleet {
+	t.Helper()
+	before := goleak.IgnoreCurrent()
+	if spec.Node.Cores == 0 {
+		spec.Node = lab.SmallNode
+	}
+	spec.Slices, spec.Members, spec.Drivers = 1, max(spec.Members, 3), max(spec.Drivers, 1)
+	f, err := lab.NewFleet(spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := f.Close(); err != nil {
+			t.Error(err)
+		}
+		if n := f.Trace.Open(); n != 0 {
+			t.Errorf("%d connections left at the stand-ins", n)
+		}
+		goleak.VerifyNone(t, before)
+	})
+	return f
+}
+
+func text(v string) *pb.Value { return &pb.Value{Kind: &pb.Value_TextValue{TextValue: v}} }
+
+func writeReq(key, value string) *pb.ExecuteRequest {
+	return &pb.ExecuteRequest{Slice: "slice0", Class: "write", Statement: "insert into kv (key, value) values ($1, $2)",
+		Parameters: []*pb.Value{text(key), text(value)}}
+}
+
+func readReq(class, key, tok string) *pb.ExecuteRequest {
+	return &pb.ExecuteRequest{Slice: "slice0", Class: class, Token: tok,
+		Statement: "select value, lsn from kv where key = $1 and $2 <> ''", Parameters: []*pb.Value{text(key), text("m")}}
+}
+
+func execute(t *testing.T, f *lab.Fleet, req *pb.ExecuteRequest) (*pb.ExecuteResponse, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	return f.Drivers[0].Client().Execute(ctx, req)
+}
+
+func must(t *testing.T, f *lab.Fleet, req *pb.ExecuteRequest) *pb.ExecuteResponse {
+	t.Helper()
+	for try := 0; ; try++ {
+		res, err := execute(t, f, req)
+		if err == nil {
+			return res
+		}
+		if try == 20 || status.Code(err) != codes.Unavailable {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond) // refused: harmless to try again
+	}
+}
+
+// TestReadSeesOwnWrite: save, reload with the token, see it, whichever node answers.
+func TestReadSeesOwnWrite(t *testing.T) {
+	f := newFleet(t, lab.Spec{})
+	for _, n := range f.Groups[0].Nodes()[1:] {
+		n.Lag(1e6) // from here on replicas stand still
+	}
+	res := must(t, f, writeReq("a", "saved"))
+	if res.CommandTag != "INSERT 0 1" || res.Served.Role != pb.Role_ROLE_PRIMARY || res.Token == "" {
+		t.Fatalf("%v", res)
+	}
+	got := must(t, f, readReq("own-read", "a", res.Token))
+	if len(got.Rows) != 1 || got.Rows[0].Values[0].GetTextValue() != "saved" || got.Rows[0].Values[1].GetIntValue() == 0 {
+		t.Errorf("rows %v", got.Rows)
+	}
+	if got.Columns[0].Name != "value" || got.Columns[0].TypeName != "text" || got.Columns[1].TypeName != "int8" {
+		t.Errorf("columns %v", got.Columns)
+	}
+}
+
+func TestBadRequestsNameTheField(t *testing.T) {
+	f := newFleet(t, lab.Spec{})
+	other := token.Token{}.With("olds", position.Position{Timeline: 1, LSN: 5}).String()
+	for _, c := range []struct {
+		field string
+		code  codes.Code
+		say   string
+		req   *pb.ExecuteRequest
+	}{
+		{"token", codes.InvalidArgument, "not base64url", readReq("own-read", "a", "!!")},
+		{"token", codes.InvalidArgument, "checksum", readReq("own-read", "a", other[:len(other)-3]+"AAA")},
+		{"token", codes.InvalidArgument, `of slice olds, the request of "slice0"`, readReq("own-read", "a", other)},
+		{"class", codes.InvalidArgument, "known: article-read", readReq("nonsense", "a", "")},
+		{"statement", codes.InvalidArgument, "is empty", &pb.ExecuteRequest{Slice: "slice0", Class: "write"}},
+		{"slice", codes.InvalidArgument, "is empty", &pb.ExecuteRequest{Class: "write", Statement: "x"}},
+		{"parameters", codes.InvalidArgument, "$1 holds a zero byte", writeReq("a\x00", "b")},
+		{"idempotency_key", codes.InvalidArgument, "is keyed", &pb.ExecuteRequest{Slice: "slice0", Class: "post", Statement: "x"}},
+		{"", codes.NotFound, "slice is not in the list", &pb.ExecuteRequest{Slice: "olds", Class: "write", Statement: "x"}},
+	} {
+		_, err := execute(t, f, c.req)
+		st := status.Convert(err)
+		if st.Code() != c.code || !strings.Contains(st.Message(), c.say) {
+			t.Errorf("%s: %v", c.say, err)
+		}
+		for _, d := range st.Details() {
+			if b, ok := d.(*errdetails.BadRequest); ok && b.FieldViolations[0].Field != c.field {
+				t.Errorf("%s: field %q, want %q", c.say, b.FieldViolations[0].Field, c.field)
+			}
+		}
+	}
+}
+
+// TestStatementErrors: the statement's own error is an answer, and the driver goes on.
+func TestStatementErrors(t *testing.T) {
+	f := newFleet(t, lab.Spec{})
+	must(t, f, readReq("desk-check", "a", ""))
+	for sql, want := range map[string]struct {
+		code codes.Code
+		say  string
+	}{
+		"select 1/0":                    {codes.InvalidArgument, "22012"},
+		"begin":                         {codes.InvalidArgument, "left a transaction open"},
+		"copy kv from stdin":            {codes.InvalidArgument, "COPY is not carried"},
+		"something no node understands": {codes.InvalidArgument, "42601"},
+	} {
+		_, err := execute(t, f, &pb.ExecuteRequest{Slice: "slice0", Class: "desk-check", Statement: sql})
+		if st := status.Convert(err); st.Code() != want.code || !strings.Contains(st.Message(), want.say) {
+			t.Errorf("%s: %v", sql, err)
+		}
+	}
+	must(t, f, readReq("desk-check", "a", ""))
+}
+
+func TestStreaming(t *testing.T) {
+	f := newFleet(t, lab.Spec{Extra: "pool max-result 64KiB\n"})
+	series := func(class string, n int64) *pb.ExecuteRequest {
+		return &pb.ExecuteRequest{Slice: "slice0", Class: class, Statement: "select n from generate_series(1, $1) where $2 <> ''",
+			Parameters: []*pb.Value{{Kind: &pb.Value_IntValue{IntValue: n}}, text("m")}}
+	}
+	must(t, f, readReq("stats", "a", ""))
+	if _, err := execute(t, f, series("stats", 50000)); status.Code(err) != codes.OutOfRange {
+		t.Errorf("a result over pool max-result: %v", err)
+	}
+	s, err := f.Drivers[0].Client().ExecuteStream(t.Context(), series("stats", 50000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var last int64
+	for {
+		chunk, err := s.Recv()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if row := chunk.GetRow(); row != nil {
+			if n := row.Values[0].GetIntValue(); n != last+1 {
+				t.Fatalf("row %d after %d", n, last)
+			}
+			last++
+		}
+		if end := chunk.GetEnd(); end != nil && end.Rows != 50000 {
+			t.Errorf("the end says %d rows", end.Rows)
+		}
+	}
+	if last != 50000 {
+		t.Errorf("%d rows", last)
+	}
+	ws, err := f.Drivers[0].Client().ExecuteStream(t.Context(), writeReq("a", "b"))
+	if err == nil {
+		_, err = ws.Recv()
+	}
+	if status.Code(err) != codes.InvalidArgument {
+		t.Errorf("a streamed write: %v", err)
+	}
+	// A reader that leaves in the midst must not leave its connection behind; the fleet's end looks for it.
+	ctx, cancel := context.WithCancel(t.Context())
+	s, err = f.Drivers[0].Client().ExecuteStream(ctx, series("stats", 500000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 10 {
+		if _, err := s.Recv(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cancel()
+}
+
+// TestStopWithHeldRequests: SIGTERM's way. What is held is answered, nothing new is taken, it ends in time.
+func TestStopWithHeldRequests(t *testing.T) {
+	f := newFleet(t, lab.Spec{Extra: ""})
+	must(t, f, writeReq("a", "first"))
+	p := f.Groups[0].Primary()
+	p.Slow(100)
+	client := f.Drivers[0].Client()
+	var held sync.WaitGroup
+	var err error
+	held.Go(func() { _, err = client.Execute(t.Context(), writeReq("a", "held")) })
+	for len(f.Trace.Statements()) == 0 || !arrived(f, "held") {
+		time.Sleep(time.Millisecond)
+	}
+	if e := f.Drivers[0].Stop(); e != nil {
+		t.Error(e)
+	}
+	held.Wait()
+	if err != nil {
+		t.Errorf("the held write: %v", err)
+	}
+}
+
+func arrived(f *lab.Fleet, tag string) bool {
+	for _, s := range f.Trace.Statements() {
+		if s.Tag == tag && s.Kind != standin.KindFacts {
+			return true
+		}
+	}
+	return false
+}
+
+// TestHealthAndDeadline: the health service answers; a client's own deadline bounds the call.
+func TestHealthAndDeadline(t *testing.T) {
+	f := newFleet(t, lab.Spec{})
+	must(t, f, writeReq("a", "x"))
+	conn, err := grpc.NewClient("passthrough:///"+f.Drivers[0].Addr(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if h, err := healthpb.NewHealthClient(conn).Check(t.Context(), &healthpb.HealthCheckRequest{}); err != nil || h.Status != healthpb.HealthCheckResponse_SERVING {
+		t.Errorf("health %v, %v", h, err)
+	}
+	f.Groups[0].Primary().Hang(true)
+	defer f.Groups[0].Primary().Hang(false)
+	ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+	defer cancel()
+	_, err = f.Drivers[0].Client().Execute(ctx, writeReq("a", "y"))
+	if st := status.Convert(err); st.Code() != codes.Unknown || !strings.Contains(st.Message(), "may have run") {
+		t.Errorf("a write at a hung primary: %v", err)
+	}
+}
+
+// peer is a db node of a test that speaks as it likes.
+func peer(t *testing.T, talk func(nc net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all sync.WaitGroup
+	all.Go(func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			all.Go(func() {
+				defer nc.Close()
+				stop := context.AfterFunc(t.Context(), func() { nc.Close() })
+				defer stop()
+				talk(nc)
+			})
+		}
+	})
+	t.Cleanup(func() { l.Close(); all.Wait() })
+	return l.Addr().String()
+}
+
+// greet takes a startup packet and lets the driver in, up to its first question.
+func greet(nc net.Conn) *pgwire.Reader {
+	r := pgwire.NewReader(nc, 0)
+	if _, err := r.NextStartup(); err != nil {
+		return r
+	}
+	nc.Write(pgwire.AppendReadyForQuery(pgwire.AppendAuthOK(nil), pgwire.TxIdle))
+	for {
+		typ, _, err := r.Next()
+		if err != nil || typ == pgwire.MsgSync {
+			break
+		}
+	}
+	nc.Write(pgwire.AppendReadyForQuery(pgwire.AppendEmpty(nil, pgwire.MsgParseComplete), pgwire.TxIdle))
+	return r
+}
+
+// TestStrangePeers: nodes that send garbage, half a message, a length of 2 GB, or nothing. The driver names
+// them in its log, the others go on serving, and nothing is left behind.
+func TestStrangePeers(t *testing.T) {
+	huge := binary.BigEndian.AppendUint32([]byte{'D'}, 2<<30-1)
+	half := pgwire.AppendDataRow(nil, [][]byte{[]byte("t"), []byte("0/40"), []byte("1")})
+	for _, c := range []struct {
+		name string
+		log  string
+		talk func(nc net.Conn)
+	}{
+		{"garbage at once", "", func(nc net.Conn) { nc.Write([]byte("HTTP/1.1 400 Bad Request\r\n\r\n")) }},
+		{"garbage for facts", "in the answer to the facts", func(nc net.Conn) { greet(nc).Next(); nc.Write(pgwire.AppendEmpty(nil, '?')); io.Copy(io.Discard, nc) }},
+		{"half a message", "", func(nc net.Conn) { greet(nc).Next(); nc.Write(half[:len(half)-3]) }},
+		{"a length of 2 GB", "over the limit", func(nc net.Conn) { greet(nc).Next(); nc.Write(huge); io.Copy(io.Discard, nc) }},
+		{"facts of one column", "3 wanted", func(nc net.Conn) {
+			greet(nc).Next()
+			nc.Write(pgwire.AppendDataRow(pgwire.AppendEmpty(nil, pgwire.MsgBindComplete), [][]byte{[]byte("t")}))
+			io.Copy(io.Discard, nc)
+		}},
+		{"an answer to nothing", "nothing was asked", func(nc net.Conn) {
+			greet(nc)
+			nc.Write(pgwire.AppendCommandComplete(nil, "X"))
+			io.Copy(io.Discard, nc)
+		}},
+		{"silence", "", func(nc net.Conn) { io.Copy(io.Discard, nc) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core, logs := observer.New(zapcore.WarnLevel)
+			f := newFleet(t, lab.Spec{Log: zap.New(core)})
+			addr := peer(t, c.talk)
+			f.Add(settings.Node{Name: "strange", Address: addr, Slice: "slice0", Hall: "reykjavik-a"})
+			for range 30 {
+				must(t, f, readReq("stats", "a", ""))
+				time.Sleep(10 * time.Millisecond)
+			}
+			if c.log == "" {
+				return
+			}
+			for try := 0; ; try++ {
+				for _, l := range logs.All() {
+					if strings.Contains(l.Message, "node strange") && strings.Contains(l.Message, c.log) {
+						return
+					}
+				}
+				if try == 100 {
+					t.Fatalf("no line names the node and %q: %v", c.log, logs.All())
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// TestAskedByParameters: nodes that tell role and position by parameters are not asked by statements.
+func TestAskedByParameters(t *testing.T) {
+	cfg := lab.SmallNode
+	cfg.Params = true
+	f := newFleet(t, lab.Spec{Node: cfg})
+	res := must(t, f, writeReq("a", "one"))
+	if got := must(t, f, readReq("own-read", "a", res.Token)); len(got.Rows) != 1 {
+		t.Errorf("rows %v", got.Rows)
+	}
+	must(t, f, readReq("article-read", "a", ""))
+	for _, s := range f.Trace.Statements() {
+		if s.Kind == standin.KindFacts {
+			t.Fatal("a node was asked by a statement")
+		}
+	}
+}
+
+// TestPasswords: SCRAM with the right one works, a wrong one is said in the log, a file open to others is refused.
+func TestPasswords(t *testing.T) {
+	cfg := lab.SmallNode
+	cfg.Password = "leyndarmál"
+	path := t.TempDir() + "/password"
+	write(t, path, cfg.Password+"\n", 0o600)
+	f := newFleet(t, lab.Spec{Node: cfg, Extra: "pool password-file " + path + "\n"})
+	must(t, f, writeReq("a", "one"))
+	write(t, path+"2", cfg.Password, 0o644)
+	s, err := f.Settings("x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.PasswordFile = path + "2"
+	if _, err := server.New(s, zap.NewNop(), 1); err == nil || !strings.Contains(err.Error(), "make it 0600") {
+		t.Errorf("a password file open to others: %v", err)
+	}
+}
--- a/standin/session.go
+++ b/standin/session.go
@@ -26,14 +26,66 @@
 	portals    map[string]portal
 	failed     bool // an error came: all up to Sync is void
 	tx         byte
-	current    *Statement // what is running or was last
+	running    *Statement // what is being run or was last
 	told       string     // the position last told by parameter
+
+	current *Statement // what arrived last, under the trace's lock: cancel requests hit it
+}
+
+// queued is one message with when it arrived. A node that hangs has received it all the same.
+type queued struct {
+	typ  byte
+	body []byte
+	st   *Statement // for what runs a statement
+}
+
+// receive reads messages as they arrive, whatever the node is doing, and notes the statements among them.
+func (s *session) receive(queue chan<- queued) {
+	defer close(queue)
+	statements, portals := map[string]pgwire.ParseMsg{}, map[string]portal{}
+	for {
+		typ, body, err := s.reader.Next()
+		if err != nil || typ == pgwire.MsgTerminate {
+			return
+		}
+		m := queued{typ: typ, body: append([]byte(nil), body...)}
+		switch typ {
+		case pgwire.MsgParse:
+			if p, err := pgwire.ParseParse(m.body); err == nil {
+				statements[p.Name] = p
+			}
+		case pgwire.MsgBind:
+			if b, err := pgwire.ParseBind(m.body); err == nil {
+				portals[b.Portal] = portalOf(statements[b.Statement], b)
+			}
+		case pgwire.MsgExecute:
+			if e, err := pgwire.ParseExecute(m.body); err == nil {
+				m.st = s.arrived(portals[e.Portal])
+			}
+		case pgwire.MsgQuery:
+			if sql, err := pgwire.ParseString(typ, m.body); err == nil {
+				m.st = s.arrived(portal{sql: sql})
+			}
+		}
+		queue <- m
+	}
+}
+
+func (s *session) arrived(p portal) *Statement {
+	st := &Statement{Node: s.node.Name, Driver: s.user, Conn: s.id, Kind: KindOther, Key: p.arg(0), Tag: p.arg(1)}
+	if f := formOf(p.sql); f != nil {
+		st.Kind = f.kind
+	}
+	s.node.group.trace.arrived(st)
+	if st.Kind != KindFacts {
+		s.note(st, func(st *Statement) { s.current = st })
+	}
+	return st
 }
 
 type portal struct {
 	sql     string
 	values  []string
-	nulls   []bool
 	formats []int
 }
 
@@ -50,17 +102,35 @@
 	if !s.startup() || s.flush() != nil {
 		return
 	}
-	for {
-		typ, body, err := s.reader.Next()
-		if err != nil || typ == pgwire.MsgTerminate || s.message(typ, body) != nil {
+	queue := make(chan queued, 256)
+	s.run.done.Add(1)
+	go func() {
+		defer s.run.done.Done()
+		s.receive(queue)
+	}()
+	defer func() {
+		s.nc.Close()
+		for m := range queue {
+			s.unrun(m.st)
+		}
+	}()
+	for m := range queue {
+		if s.message(m) != nil {
 			return
 		}
 	}
 }
 
+// unrun notes that a statement will never run: its session is over.
+func (s *session) unrun(st *Statement) {
+	if st != nil {
+		s.note(st, func(st *Statement) { st.Ended = time.Now() })
+	}
+}
+
 // finish notes that what was running has nobody left to answer.
 func (s *session) finish() {
-	if c := s.current; c != nil {
+	if c := s.running; c != nil {
 		s.node.group.trace.change(c, func(c *Statement) {
 			if c.Ended.IsZero() {
 				c.Ended = time.Now()
@@ -203,8 +273,10 @@
 }
 
 // message handles one message; an error ends the session.
-func (s *session) message(typ byte, body []byte) error {
+func (s *session) message(m queued) error {
+	typ, body := m.typ, m.body
 	if s.failed && typ != pgwire.MsgSync {
+		s.unrun(m.st)
 		return nil
 	}
 	switch typ {
@@ -215,7 +287,7 @@
 	case pgwire.MsgDescribe:
 		return s.describe(body)
 	case pgwire.MsgExecute:
-		return s.execute(body)
+		return s.execute(body, m.st)
 	case pgwire.MsgClose:
 		s.out = pgwire.AppendEmpty(s.out, pgwire.MsgCloseComplete)
 	case pgwire.MsgFlush:
@@ -227,7 +299,7 @@
 		s.finish()
 		return err
 	case pgwire.MsgQuery:
-		return s.query(body)
+		return s.query(body, m.st)
 	default:
 		s.fatal("08P01", fmt.Sprintf("message %q is not understood", typ))
 		return cutError{}
@@ -261,14 +333,25 @@
 	if !ok {
 		return s.fault("26000", fmt.Sprintf("prepared statement %q does not exist", m.Statement))
 	}
+	s.portals[m.Portal] = portalOf(st, m)
+	s.out = pgwire.AppendEmpty(s.out, pgwire.MsgBindComplete)
+	return nil
+}
+
+func portalOf(st pgwire.ParseMsg, m pgwire.BindMsg) portal {
 	p := portal{sql: st.SQL, formats: m.ResultFormats}
 	for i, v := range m.Values {
-		p.nulls = append(p.nulls, v == nil)
 		p.values = append(p.values, textOf(v, formatAt(m.Formats, i), st.Types, i))
 	}
-	s.portals[m.Portal] = p
-	s.out = pgwire.AppendEmpty(s.out, pgwire.MsgBindComplete)
-	return nil
+	return p
+}
+
+// arg is a parameter's text, "" if there is none.
+func (p *portal) arg(i int) string {
+	if i < len(p.values) {
+		return p.values[i]
+	}
+	return ""
 }
 
 // formatAt is the format of item i: none told is text, one told holds for all.
@@ -325,7 +408,7 @@
 	return nil
 }
 
-func (s *session) execute(body []byte) error {
+func (s *session) execute(body []byte, st *Statement) error {
 	m, err := pgwire.ParseExecute(body)
 	if err != nil {
 		return err
@@ -334,11 +417,11 @@
 	if !ok {
 		return s.fault("34000", fmt.Sprintf("portal %q does not exist", m.Portal))
 	}
-	return s.statement(p)
+	return s.statement(p, st)
 }
 
 // query is the simple protocol: one statement without parameters.
-func (s *session) query(body []byte) error {
+func (s *session) query(body []byte, st *Statement) error {
 	sql, err := pgwire.ParseString(pgwire.MsgQuery, body)
 	if err != nil {
 		return err
@@ -346,7 +429,7 @@
 	if columns := columnsOf(sql); columns != nil {
 		s.out = pgwire.AppendRowDescription(s.out, columns)
 	}
-	if err := s.statement(portal{sql: sql}); err != nil {
+	if err := s.statement(portal{sql: sql}, st); err != nil {
 		return err
 	}
 	s.failed = false
--- a/standin/sql.go
+++ b/standin/sql.go
@@ -80,22 +80,14 @@
 }
 
 // statement runs one statement of a portal and appends its answer.
-func (s *session) statement(p portal) error {
+func (s *session) statement(p portal, st *Statement) error {
 	f := formOf(p.sql)
 	if f == nil {
 		return s.fault("42601", "this stand-in does not understand the statement")
 	}
-	arg := func(i int) string {
-		if i < len(p.values) {
-			return p.values[i]
-		}
-		return ""
-	}
-	st := &Statement{Node: s.node.Name, Driver: s.user, Conn: s.id, Kind: f.kind, Key: arg(0), Tag: arg(1)}
-	s.node.group.trace.arrived(st)
 	if f.kind != KindFacts {
 		s.finish()
-		s.note(st, func(st *Statement) { s.current = st }) // cancel requests come on other connections
+		s.running = st
 	}
 	if !s.node.gate(s.run) {
 		return cutError{}
@@ -115,9 +107,9 @@
 	case KindFacts:
 		return s.runFacts(p)
 	case KindRead:
-		return s.runRead(f, p, st, arg)
+		return s.runRead(f, p, st)
 	case KindWrite:
-		return s.runWrite(p, st, arg)
+		return s.runWrite(p, st)
 	}
 	switch f.prefix {
 	case "begin":
@@ -158,18 +150,18 @@
 	s.out = pgwire.AppendDataRow(s.out, row)
 }
 
-func (s *session) runRead(f *sqlForm, p portal, st *Statement, arg func(int) string) error {
+func (s *session) runRead(f *sqlForm, p portal, st *Statement) error {
 	n := s.node
 	if !n.work(s.run, n.cfg.Read) {
 		return cutError{}
 	}
 	n.group.mu.Lock()
-	value, lsn, found := n.branch.value(arg(0), n.applied)
+	value, lsn, found := n.branch.value(p.arg(0), n.applied)
 	at, replica := n.branch.at(n.applied), !n.believes
 	n.group.mu.Unlock()
 	s.note(st, func(st *Statement) { st.Ran, st.Position, st.Replica = true, at, replica })
 	if strings.HasPrefix(f.prefix, "select n") {
-		return s.series(f, p, arg(0))
+		return s.series(f, p, p.arg(0))
 	}
 	rows := 0
 	if found {
@@ -194,7 +186,7 @@
 	return nil
 }
 
-func (s *session) runWrite(p portal, st *Statement, arg func(int) string) error {
+func (s *session) runWrite(p portal, st *Statement) error {
 	n := s.node
 	if n.facts().replica {
 		s.note(st, func(st *Statement) { st.Code, st.Replica = "25006", true })
@@ -207,7 +199,7 @@
 		s.note(st, func(st *Statement) { st.Code, st.Replica = "25006", true })
 		return s.fault("25006", "cannot execute INSERT in a read-only transaction")
 	}
-	at, ran := n.group.write(n, arg(0), arg(1), arg(2))
+	at, ran := n.group.write(n, p.arg(0), p.arg(1), p.arg(2))
 	s.note(st, func(st *Statement) { st.Ran, st.Position = ran, at })
 	s.out = pgwire.AppendCommandComplete(s.out, "INSERT 0 1")
 	return nil
--- a/standin/trace.go
+++ b/standin/trace.go
@@ -101,7 +101,7 @@
 func (t *Trace) arrived(s *Statement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s.Arrived = time.Now()
+	s.Arrived = time.Now() // under the lock, so that the record is in order of arrival
 	t.statements = append(t.statements, s)
 }
 
