--- a/cmd/umberladder/lab.go
+++ b/cmd/umberladder/lab.go
@@ -11,9 +11,33 @@
 func labCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "lab", Short: "Play failures on loopback and judge the five rules by the traffic"}
 	cmd.AddCommand(labRun("badday", "Overlapping troubles against several drivers, about ten seconds", lab.BadDay))
+	var seed uint64
+	replay := &cobra.Command{
+		Use:   "replay DAY.json",
+		Short: "Play a day of the users' bench, scaled down, through real drivers",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return judged(cmd, func() (*lab.Report, error) { return lab.Replay(args[0], seed) })
+		},
+	}
+	replay.Flags().Uint64Var(&seed, "seed", 1, "settles all that is drawn")
+	cmd.AddCommand(replay)
 	return cmd
 }
 
+// judged runs something and writes its report; a broken rule ends the program with exit status 1.
+func judged(cmd *cobra.Command, run func() (*lab.Report, error)) error {
+	r, err := run()
+	if err != nil {
+		return err
+	}
+	r.Write(cmd.OutOrStdout())
+	if r.Broken() > 0 {
+		return errQuiet
+	}
+	return nil
+}
+
 // labRun is a lab command that takes a seed and exits non-zero if a rule was broken.
 func labRun(name, short string, run func(seed uint64) (*lab.Report, error)) *cobra.Command {
 	var seed uint64
@@ -22,15 +46,7 @@
 		Short: short,
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			r, err := run(seed)
-			if err != nil {
-				return err
-			}
-			r.Write(cmd.OutOrStdout())
-			if r.Broken() > 0 {
-				return errQuiet
-			}
-			return nil
+			return judged(cmd, func() (*lab.Report, error) { return run(seed) })
 		},
 	}
 	cmd.Flags().Uint64Var(&seed, "seed", uint64(time.Now().UnixNano())%100000, "settles all that is drawn")
--- a/lab/badday.go
+++ b/lab/badday.go
@@ -287,7 +287,7 @@
 			})
 		}
 		life(balance.LifeDraining)
-		d.wait(siteGrace + 300*time.Millisecond)
+		d.wait(d.fleet.Spec.Site.Grace + 300*time.Millisecond)
 		life(balance.LifeGone)
 		d.wait(300 * time.Millisecond)
 		n.Die()
--- a/lab/client.go
+++ b/lab/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
@@ -13,6 +14,7 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"umberladder/balance"
 	pb "umberladder/proto/umberladder/v1"
 )
 
@@ -35,7 +37,7 @@
 // Call is one request as its client saw it.
 type Call struct {
 	Tag      string
-	Class    string
+	Class    *Class
 	Slice    string
 	Session  string
 	Key      string
@@ -79,7 +81,9 @@
 	fleet  *Fleet
 	book   *Book
 	rng    *rand.Rand
-	leaves float64 // share of calls that it gives up on in their midst
+	bad    *atomic.Int64 // share of its calls that no node can run, in thousandths; nil for none
+	hot    *atomic.Int64 // share of its calls that all go to the first driver, in thousandths; nil for none
+	leaves float64       // share of calls that it gives up on in their midst
 	seq    int
 	tokens map[string]string   // by slice
 	writes map[string][]string // served ones, by slice
@@ -102,38 +106,38 @@
 	}
 }
 
-var mix = []struct {
-	class string
-	share float64
-	wait  time.Duration
-}{{"article-read", 0.40, siteDeadline}, {"own-read", 0.28, siteDeadline}, {"write", 0.12, 3 * time.Second},
-	{"post", 0.08, siteDeadline}, {"desk-check", 0.08, siteDeadline}, {"stats", 0.04, 3 * time.Second}}
-
 func (s *session) once(ctx context.Context) {
+	classes := s.fleet.Spec.Site.Classes
 	draw, i := s.rng.Float64(), 0
-	for ; i < len(mix)-1 && draw >= mix[i].share; i++ {
-		draw -= mix[i].share
+	for ; i < len(classes)-1 && draw >= classes[i].Share; i++ {
+		draw -= classes[i].Share
 	}
 	g := s.fleet.Groups[s.rng.IntN(len(s.fleet.Groups))]
 	d := s.fleet.Drivers[s.rng.IntN(len(s.fleet.Drivers))]
+	if s.hot != nil && s.rng.IntN(1000) < int(s.hot.Load()) {
+		d = s.fleet.Drivers[0]
+	}
 	leave := time.Duration(0)
 	if s.rng.Float64() < s.leaves {
 		leave = time.Duration(s.rng.Float64() * float64(30*time.Millisecond))
 	}
-	s.call(ctx, d, g.Name, mix[i].class, mix[i].wait, leave)
+	s.call(ctx, d, g.Name, &classes[i], leave)
 }
 
 // call makes one call and books it. With a leave time, the client gives up after it.
-func (s *session) call(ctx context.Context, d *Driver, slice, class string, wait, leave time.Duration) *Call {
+func (s *session) call(ctx context.Context, d *Driver, slice string, class *Class, leave time.Duration) *Call {
 	client := d.Client()
 	if client == nil {
 		return nil // the front has noticed that the driver is gone
 	}
 	s.seq++
 	c := Call{Tag: fmt.Sprintf("%s-%d", s.name, s.seq), Class: class, Slice: slice, Session: s.name, Driver: d.Name,
-		Key: s.name, Wait: wait, After: append([]string(nil), s.writes[slice]...)}
+		Key: s.name, Wait: class.Deadline, After: append([]string(nil), s.writes[slice]...)}
 	req := s.request(&c)
-	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), wait+patience)
+	if s.bad != nil && s.rng.IntN(1000) < int(s.bad.Load()) && class.Effect == balance.Safe {
+		req.Statement = "select 1/0"
+	}
+	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), class.Deadline+patience)
 	defer cancel()
 	if leave > 0 {
 		// It leaves unannounced: a deadline would be told to the driver beforehand.
@@ -159,15 +163,15 @@
 func text(v string) *pb.Value { return &pb.Value{Kind: &pb.Value_TextValue{TextValue: v}} }
 
 func (s *session) request(c *Call) *pb.ExecuteRequest {
-	req := &pb.ExecuteRequest{Slice: c.Slice, Class: c.Class, Session: s.name, Token: s.tokens[c.Slice],
+	req := &pb.ExecuteRequest{Slice: c.Slice, Class: c.Class.Name, Session: s.name, Token: s.tokens[c.Slice],
 		Timeout: durationpb.New(c.Wait), Parameters: []*pb.Value{text(c.Key), text(c.Tag)},
 		Statement: "select value, lsn from kv where key = $1 and $2 <> ''"}
-	switch c.Class {
-	case "write":
-		req.Statement = "insert into kv (key, value) values ($1, $2)"
-	case "post":
+	switch {
+	case c.Class.Effect == balance.Keyed:
 		req.Statement, req.IdempotencyKey = "insert into kv (key, value) values ($1, $2) returning idem($3)", "k-"+c.Tag
-	case "stats":
+	case c.Class.Need == balance.NeedWrite:
+		req.Statement = "insert into kv (key, value) values ($1, $2)"
+	case c.Class.Stream:
 		req.Statement = "select n from generate_series(1, $1) where $2 <> ''"
 		req.Parameters[0] = &pb.Value{Kind: &pb.Value_IntValue{IntValue: 200}}
 	}
@@ -176,7 +180,7 @@
 
 // do makes the call; statistics come as a stream.
 func (s *session) do(ctx context.Context, client pb.DriverClient, req *pb.ExecuteRequest, c *Call) (*pb.ExecuteResponse, error) {
-	if c.Class != "stats" {
+	if !c.Class.Stream {
 		return client.Execute(ctx, req, grpc.WaitForReady(false))
 	}
 	stream, err := client.ExecuteStream(ctx, req)
@@ -206,13 +210,13 @@
 
 func (s *session) heard(c *Call, res *pb.ExecuteResponse) {
 	c.Served = res.Served
-	if c.Class != "stats" {
+	if !c.Class.Stream {
 		s.tokens[c.Slice] = res.Token
 	}
 	if len(res.Rows) > 0 {
 		c.Value = res.Rows[0].Values[0].GetTextValue()
 	}
-	if c.Class == "write" || c.Class == "post" {
+	if c.Class.Need == balance.NeedWrite {
 		s.writes[c.Slice] = append(s.writes[c.Slice], c.Tag)
 	}
 }
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -25,77 +25,36 @@
 	Slices  int
 	Members int // nodes of a slice, the primary among them
 	Drivers int
+	Site    Site      // UsersSite if it has no class
+	Layout  [][]Place // the nodes of each slice, the primary first; in place of Slices and Members
+	Halls   []string  // nodes and drivers are spread over them in turn; the users' two if empty
 	Node    standin.Config
 	Extra   string // further lines of the drivers' settings
 	Log     *zap.Logger
 	Seed    uint64
 }
 
-// The site that the fleets of this package play: the users' classes with times that suit short runs.
-const (
-	siteBound    = 200 * time.Millisecond
-	siteGrace    = 500 * time.Millisecond
-	siteFall     = time.Second
-	siteTip      = 3.0
-	siteWindow   = 2 * time.Second
-	siteDeadline = 1500 * time.Millisecond
-	siteSettings = `
-class article-read {
-    effect safe
-    need bounded 200ms
-    target 400ms
-    deadline 1500ms
-    worth 2
-}
-class own-read {
-    effect safe
-    need session
-    target 250ms
-    deadline 1500ms
-}
-class desk-check {
-    effect safe
-    need fresh
-    target 400ms
-    deadline 1500ms
-}
-class write {
-    effect unsafe
-    need write
-    target 500ms
-    deadline 3s
-    worth 6
-    late-worth 50%
-}
-class post {
-    effect keyed
-    window 2s
-    need write
-    target 500ms
-    deadline 1500ms
-    worth 6
-    late-worth 50%
-}
-class stats {
-    effect safe
-    need any
-    target 1s
-    deadline 3s
+// Place is a node of a layout.
+type Place struct{ Name, Hall string }
+
+// places is the layout, made up where none is given.
+func (s *Spec) places() [][]Place {
+	if len(s.Layout) > 0 {
+		return s.Layout
+	}
+	all := make([][]Place, s.Slices)
+	for i := range all {
+		for m := range s.Members {
+			all[i] = append(all[i], Place{fmt.Sprintf("db%d-%d", i, m), s.Halls[m%len(s.Halls)]})
+		}
+	}
+	return all
 }
-drain grace 500ms
-cold from 20%
-cold fall 1s
-cold tip 3
-answers margin 50ms
-attempts cancel-work on
-pool linger 4s
-stop within 4s
-`
-)
 
 // Driver is one driver of a fleet. It keeps its name over restarts.
 type Driver struct {
 	Name string
+	Hall string
 
 	mu      sync.Mutex
 	server  *server.Server
@@ -135,13 +94,18 @@
 	if spec.Log == nil {
 		spec.Log = zap.NewNop()
 	}
+	if len(spec.Site.Classes) == 0 {
+		spec.Site = UsersSite()
+	}
+	if len(spec.Halls) == 0 {
+		spec.Halls = []string{"reykjavik-a", "hafnarfjordur-b"}
+	}
 	f := &Fleet{Spec: spec, Trace: standin.NewTrace()}
-	halls := []string{"reykjavik-a", "hafnarfjordur-b"}
-	for s := range spec.Slices {
-		g := standin.NewGroup(fmt.Sprintf("slice%d", s), siteWindow, f.Trace)
+	for i, places := range spec.places() {
+		g := standin.NewGroup(fmt.Sprintf("slice%d", i), spec.Site.Window(), f.Trace)
 		f.Groups = append(f.Groups, g)
-		for m := range spec.Members {
-			n, err := g.AddNode(fmt.Sprintf("db%d-%d", s, m), halls[m%2], spec.Node)
+		for _, p := range places {
+			n, err := g.AddNode(p.Name, p.Hall, spec.Node)
 			if err != nil {
 				f.Close()
 				return nil, err
@@ -150,7 +114,7 @@
 		}
 	}
 	for d := range spec.Drivers {
-		drv := &Driver{Name: fmt.Sprintf("driver%d", d)}
+		drv := &Driver{Name: fmt.Sprintf("driver%d", d), Hall: spec.Halls[d%len(spec.Halls)]}
 		f.Drivers = append(f.Drivers, drv)
 		if err := f.Start(drv); err != nil {
 			f.Close()
@@ -161,9 +125,10 @@
 }
 
 // Settings is what a driver of the fleet is told.
-func (f *Fleet) Settings(driver string) (*settings.Settings, error) {
-	text := siteSettings + "hall reykjavik-a hafnarfjordur-b\nhere reykjavik-a\nlisten grpc 127.0.0.1:0\n" +
-		fmt.Sprintf("routers %d\npool user %s\ncold ramp %s\n", f.Spec.Drivers, driver, f.Spec.Node.Ramp) + f.Spec.Extra
+func (f *Fleet) Settings(d *Driver) (*settings.Settings, error) {
+	text := f.Spec.Site.Settings() + "hall " + strings.Join(f.Spec.Halls, " ") + "\nhere " + d.Hall + "\n" +
+		fmt.Sprintf("listen grpc 127.0.0.1:0\nrouters %d\npool user %s\ncold ramp %s\ncold from %g%%\n", f.Spec.Drivers, d.Name,
+			f.Spec.Node.Ramp, 100*f.Spec.Node.ColdFrom) + f.Spec.Extra
 	s, err := settings.Parse("lab", text)
 	if err != nil {
 		return nil, err
@@ -176,7 +141,7 @@
 
 // Start starts a driver that does not run. It knows the list as it is, and nothing else.
 func (f *Fleet) Start(d *Driver) error {
-	s, err := f.Settings(d.Name)
+	s, err := f.Settings(d)
 	if err != nil {
 		return err
 	}
@@ -318,3 +283,13 @@
 
 // Addr is where the driver serves clients; it differs from life to life.
 func (d *Driver) Addr() string { return d.running().Addr() }
+
+// named is the driver of a name, nil if there is none.
+func (f *Fleet) named(name string) *Driver {
+	for _, d := range f.Drivers {
+		if d.Name == name {
+			return d
+		}
+	}
+	return nil
+}
--- a/lab/judge.go
+++ b/lab/judge.go
@@ -76,34 +76,25 @@
 	return []*Rule{j.oneAnswer(), j.noSecondEffect(), j.drainsKept(), j.coldSpared(), j.noStaleRead()}
 }
 
-func (j *judge) driver(name string) *Driver {
-	for _, d := range j.fleet.Drivers {
-		if d.Name == name {
-			return d
-		}
-	}
-	return nil
-}
-
 // oneAnswer: whatever a running driver took is answered once, in time, and nothing is sent for it after.
 func (j *judge) oneAnswer() *Rule {
 	r := &Rule{Name: "one final answer"}
 	for i := range j.calls {
 		c := &j.calls[i]
-		if !j.driver(c.Driver).aliveDuring(c.Sent, c.Answered) {
+		if !j.fleet.named(c.Driver).aliveDuring(c.Sent, c.Answered) {
 			r.Excused++
 			continue
 		}
 		r.Chances++
 		if c.Verdict == Unanswered {
-			r.broken("%s %s at %s: no answer (%s)", c.Class, c.Tag, c.Driver, c.Text)
+			r.broken("%s %s at %s: no answer (%s)", c.Class.Name, c.Tag, c.Driver, c.Text)
 		}
 		if late := c.Answered.Sub(c.Sent) - c.Wait; c.Verdict != Left && late > j.slack {
-			r.broken("%s %s at %s: answered %v after the client gave up", c.Class, c.Tag, c.Driver, late)
+			r.broken("%s %s at %s: answered %v after the client gave up", c.Class.Name, c.Tag, c.Driver, late)
 		}
 		for _, s := range j.byTag[c.Tag] {
 			if after := s.Arrived.Sub(c.Answered); after > j.slack {
-				r.broken("%s %s: sent to %s %v after its final answer (%v)", c.Class, c.Tag, s.Node, after, c.Verdict)
+				r.broken("%s %s: sent to %s %v after its final answer (%v)", c.Class.Name, c.Tag, s.Node, after, c.Verdict)
 			}
 		}
 	}
@@ -126,12 +117,12 @@
 				j.again(r, c, &all[k-1], &all[k])
 			}
 		}
-		write := c.Class == "write" || c.Class == "post"
+		write := c.Class.Need == balance.NeedWrite
 		if write && len(all) > 0 {
 			r.Chances++
 		}
 		if write && ran > 1 {
-			r.broken("%s %s ran %d times", c.Class, c.Tag, ran)
+			r.broken("%s %s ran %d times", c.Class.Name, c.Tag, ran)
 		}
 	}
 	return r
@@ -140,20 +131,17 @@
 // again judges two attempts of one request that followed each other.
 func (j *judge) again(r *Rule, c *Call, first, next *standin.Statement) {
 	unrun := first.Code != "" // the node said that nothing ran
-	switch c.Class {
-	case "write":
-		if !unrun {
-			r.broken("write %s went to %s and again to %s though it may have run", c.Tag, first.Node, next.Node)
-		}
-	case "post":
-		if age := next.Arrived.Sub(first.Arrived); !unrun && age > siteWindow {
-			r.broken("post %s went out again after %v, outside its window", c.Tag, age)
-		}
+	switch age := next.Arrived.Sub(first.Arrived); {
+	case unrun:
+	case c.Class.Effect == balance.Unsafe:
+		r.broken("%s %s went to %s and again to %s though it may have run", c.Class.Name, c.Tag, first.Node, next.Node)
+	case c.Class.Effect == balance.Keyed && age > c.Class.Window:
+		r.broken("%s %s went out again after %v, outside its window", c.Class.Name, c.Tag, age)
 	}
 	over := !first.Ended.IsZero() && first.Ended.Sub(next.Arrived) <= j.slack
 	called := !first.Canceled.IsZero() && first.Canceled.Sub(next.Arrived) <= j.slack
-	if !over && !called {
-		r.broken("%s %s was at %s and at %s together", c.Class, c.Tag, first.Node, next.Node)
+	if !over && !called && !j.fleet.Spec.Site.Copies {
+		r.broken("%s %s was at %s and at %s together", c.Class.Name, c.Tag, first.Node, next.Node)
 	}
 }
 
@@ -181,7 +169,7 @@
 	for _, b := range bound {
 		r.Chances++
 		for _, s := range j.byNode[b.from.Node] {
-			if s.Driver == b.from.Driver && s.Arrived.After(b.from.At.Add(siteGrace+j.slack)) && s.Arrived.Before(b.to.At) {
+			if s.Driver == b.from.Driver && s.Arrived.After(b.from.At.Add(j.fleet.Spec.Site.Grace+j.slack)) && s.Arrived.Before(b.to.At) {
 				r.broken("%s sent %s to %s %v after it was told that it drains", s.Driver, s.Tag, s.Node, s.Arrived.Sub(b.from.At))
 			}
 		}
@@ -200,13 +188,13 @@
 		for i := from; i < len(all) && all[i].Arrived.Sub(start.At) < cfg.Ramp; i++ {
 			r.Chances++
 			k := i
-			for k < len(all) && all[k].Arrived.Sub(all[i].Arrived) < siteFall {
+			for k < len(all) && all[k].Arrived.Sub(all[i].Arrived) < j.fleet.Spec.Site.Fall {
 				k++
 			}
 			age := min(1, all[k-1].Arrived.Sub(start.At).Seconds()/cfg.Ramp.Seconds())
-			can := cfg.Capacity() * siteFall.Seconds() * (cfg.ColdFrom + (1-cfg.ColdFrom)*age)
-			if float64(k-i) > siteTip*can {
-				r.broken("%s got %d in %v, %v after its start, and could do %.0f", start.Node, k-i, siteFall, all[i].Arrived.Sub(start.At), can)
+			can := cfg.Capacity() * j.fleet.Spec.Site.Fall.Seconds() * (cfg.ColdFrom + (1-cfg.ColdFrom)*age)
+			if float64(k-i) > j.fleet.Spec.Site.Tip*can {
+				r.broken("%s got %d in %v, %v after its start, and could do %.0f", start.Node, k-i, j.fleet.Spec.Site.Fall, all[i].Arrived.Sub(start.At), can)
 				break
 			}
 		}
@@ -225,19 +213,19 @@
 			continue
 		}
 		g := j.groups[c.Slice]
-		switch c.Class {
-		case "article-read":
+		switch c.Class.Need {
+		case balance.NeedBounded:
 			r.Chances++
-			j.reaches(r, c, s, g, s.Arrived.Add(-siteBound-j.slack))
-		case "desk-check":
+			j.reaches(r, c, s, g, s.Arrived.Add(-c.Class.Bound-j.slack))
+		case balance.NeedFresh:
 			r.Chances++
 			j.reaches(r, c, s, g, c.Sent)
-		case "own-read":
+		case balance.NeedSession:
 			r.Chances++
 			for _, tag := range c.After {
 				w, ok := j.commits[tag]
 				if ok && g.Survives(w.Position, s.Position.Timeline) && w.Position.LSN > s.Position.LSN {
-					r.broken("own-read %s at %s saw %v, its session's write %s is at %v", c.Tag, s.Node, s.Position, tag, w.Position)
+					r.broken("%s %s at %s saw %v, its session's write %s is at %v", c.Class.Name, c.Tag, s.Node, s.Position, tag, w.Position)
 				}
 			}
 		}
@@ -267,7 +255,7 @@
 				r.Excused++
 				return
 			}
-			r.broken("%s %s at %s saw %v, %s of %v before is at %v", c.Class, c.Tag, s.Node, s.Position, w.Value,
+			r.broken("%s %s at %s saw %v, %s of %v before is at %v", c.Class.Name, c.Tag, s.Node, s.Position, w.Value,
 				s.Arrived.Sub(w.At), w.Position)
 			return
 		}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -392,7 +392,7 @@
 	f := newFleet(t, lab.Spec{Node: cfg, Extra: "pool password-file " + path + "\n"})
 	must(t, f, writeReq("a", "one"))
 	write(t, path+"2", cfg.Password, 0o644)
-	s, err := f.Settings("x")
+	s, err := f.Settings(f.Drivers[0])
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/node.go
+++ b/standin/node.go
@@ -44,13 +44,21 @@
 	changed  *sync.Cond
 	refusing string // SQLSTATE for whoever connects or asks; "" for none
 	stalled  time.Time
-	slow     float64   // work takes so many times as long
-	cold     time.Time // since when it has been warming; zero for warm
-	cut      int       // bytes of answers until a connection is cut; 0 for never
+	slow     float64       // work takes so many times as long
+	cold     time.Time     // since when it has been warming; zero for warm
+	cut      int           // bytes of answers until a connection is cut; 0 for never
+	greeting time.Duration // what opening a connection takes
+	cap      int           // connections taken, in place of the configuration's; 0 for that
+	reap     time.Duration // a connection unused for longer is dropped unseen; 0 for never
+	link     Link
 	nextConn uint64
 	conns    map[uint64]*session
 }
 
+// Link tells what the way between a driver and a node does to what is sent on it: the delay each way, and the
+// share that is lost. A connection on which something was lost is silent from then on.
+type Link func(driver string) (delay time.Duration, lost float64)
+
 // run is one life of a node's process.
 type run struct {
 	ctx      context.Context
@@ -61,9 +69,7 @@
 
 // AddNode adds a member and starts it, warm. The first is the primary.
 func (g *Group) AddNode(name, hall string, cfg Config) (*Node, error) {
-	n := &Node{Name: name, Hall: hall, group: g, cfg: cfg, slots: make(chan struct{}, max(1, cfg.Cores)),
-		conns: map[uint64]*session{}, addr: "127.0.0.1:0"}
-	n.changed = sync.NewCond(&n.mu)
+	n := newNode(g, name, hall, cfg)
 	g.mu.Lock()
 	n.branch = g.branch
 	n.applied = len(g.branch.records)
@@ -75,6 +81,13 @@
 	return n, n.start()
 }
 
+func newNode(g *Group, name, hall string, cfg Config) *Node {
+	n := &Node{Name: name, Hall: hall, group: g, cfg: cfg, slots: make(chan struct{}, max(1, cfg.Cores)),
+		conns: map[uint64]*session{}, addr: "127.0.0.1:0"}
+	n.changed = sync.NewCond(&n.mu)
+	return n
+}
+
 // Addr is where the node listens; it stays the same over restarts.
 func (n *Node) Addr() string { return n.addr }
 
@@ -176,7 +189,7 @@
 	}
 	g.mu.Unlock()
 	n.mu.Lock()
-	n.cold, n.refusing, n.stalled, n.slow, n.cut = time.Now(), "", time.Time{}, 0, 0
+	n.cold, n.refusing, n.stalled, n.slow, n.cut, n.reap, n.greeting, n.cap = time.Now(), "", time.Time{}, 0, 0, 0, 0, 0
 	at := n.cold
 	n.mu.Unlock()
 	if err := n.start(); err != nil {
@@ -232,6 +245,48 @@
 	n.cut = bytes
 }
 
+// Greet makes opening a connection take so long; 0 ends that.
+func (n *Node) Greet(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.greeting = d
+}
+
+// Cap makes the node take no more than so many connections; 0 ends that.
+func (n *Node) Cap(conns int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cap = conns
+}
+
+// Reap makes connections unused for longer than idle drop unseen: what comes on one is never answered. 0 ends
+// that for connections that were not dropped yet.
+func (n *Node) Reap(idle time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.reap = idle
+}
+
+// Through puts a link between the node and its drivers; nil takes it away.
+func (n *Node) Through(l Link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.link = l
+}
+
+// AddColdNode adds a member that starts now, cold, from a copy of the log that lacks the newest records.
+func (g *Group) AddColdNode(name, hall string, cfg Config, behind int) (*Node, error) {
+	n := newNode(g, name, hall, cfg)
+	g.mu.Lock()
+	n.branch = g.branch
+	n.applied = max(0, len(g.branch.records)-behind)
+	g.nodes = append(g.nodes, n)
+	g.mu.Unlock()
+	n.cold = time.Now()
+	g.trace.started(Start{Node: name, At: n.cold, Cold: true})
+	return n, n.start()
+}
+
 // Close ends the group's nodes.
 func (g *Group) Close() {
 	for _, n := range g.Nodes() {
--- a/standin/session.go
+++ b/standin/session.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
@@ -29,6 +30,10 @@
 	running    *Statement // what is being run or was last
 	told       string     // the position last told by parameter
 
+	heard time.Time // when the last message came
+	deaf  bool      // it was lost unseen
+	due   time.Time // when the link lets the last through
+
 	current *Statement // what arrived last, under the trace's lock: cancel requests hit it
 }
 
@@ -37,6 +42,7 @@
 	typ  byte
 	body []byte
 	st   *Statement // for what runs a statement
+	due  time.Time  // when a slow link lets it through
 }
 
 // receive reads messages as they arrive, whatever the node is doing, and notes the statements among them.
@@ -67,8 +73,30 @@
 				m.st = s.arrived(portal{sql: sql})
 			}
 		}
-		queue <- m
+		if !s.dropped() { // else as if it had been lost on the way
+			m.due = s.due
+			queue <- m
+		}
+	}
+}
+
+// dropped tells whether the connection was lost unseen, and sets when the link lets through what came.
+func (s *session) dropped() bool {
+	n := s.node
+	n.mu.Lock()
+	reap, link := n.reap, n.link
+	n.mu.Unlock()
+	now := time.Now()
+	if reap > 0 && !s.heard.IsZero() && now.Sub(s.heard) > reap {
+		s.deaf = true
+	}
+	if idle := now.Sub(s.heard); link != nil && !s.deaf && idle > time.Millisecond {
+		delay, lost := link(s.user) // once for what comes together
+		s.deaf = rand.Float64() < lost
+		s.due = now.Add(delay)
 	}
+	s.heard = time.Now()
+	return s.deaf
 }
 
 func (s *session) arrived(p portal) *Statement {
@@ -115,6 +143,7 @@
 		}
 	}()
 	for m := range queue {
+		pause(s.run.ctx, time.Until(m.due))
 		if s.message(m) != nil {
 			return
 		}
@@ -167,9 +196,13 @@
 		return false
 	}
 	n.mu.Lock()
-	refusing, conns := n.refusing, len(n.conns)
+	refusing, conns, most, greeting := n.refusing, len(n.conns), n.cfg.MaxConns, n.greeting
+	if n.cap > 0 {
+		most = n.cap
+	}
 	n.mu.Unlock()
-	if n.cfg.MaxConns > 0 && conns > n.cfg.MaxConns {
+	pause(s.run.ctx, greeting)
+	if most > 0 && conns > most {
 		refusing = "53300"
 	}
 	if refusing != "" {
@@ -249,6 +282,10 @@
 	s.node.mu.Unlock()
 	out := s.out
 	s.out = s.out[:0]
+	if link := s.way(); link != nil && len(out) > 0 {
+		delay, _ := link(s.user)
+		pause(s.run.ctx, delay)
+	}
 	if cut > 0 && s.sent+len(out) > cut {
 		s.nc.Write(out[:max(0, min(len(out), cut-s.sent))])
 		return cutError{}
@@ -258,6 +295,12 @@
 	return err
 }
 
+func (s *session) way() Link {
+	s.node.mu.Lock()
+	defer s.node.mu.Unlock()
+	return s.node.link
+}
+
 // ready appends ReadyForQuery, before it the position where the node tells it by parameter.
 func (s *session) ready() {
 	if s.node.cfg.Params {
