--- /dev/null
+++ b/driver/bench_test.go
@@ -0,0 +1,102 @@
+package driver
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"umberladder/balance"
+	"umberladder/token"
+)
+
+// benchEngine is an engine before slices of six nodes, all polled and with one connection each.
+func benchEngine(b testing.TB, nodes int) (*Engine, []string, func(cmds []Command) []Event) {
+	cfg := testConfig()
+	cfg.MaxOpen, cfg.PoolSize = 1<<20, 1<<20
+	e, err := New(cfg, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var list []Node
+	var slices []string
+	roles := map[string]Facts{}
+	for i := range nodes {
+		n := Node{Name: fmt.Sprintf("db%d", i), Address: fmt.Sprintf("db%d:1", i), Slice: fmt.Sprintf("s%d", i/6), Hall: "a"}
+		roles[n.Name] = replica(at(1, 1000))
+		if i%6 == 0 {
+			roles[n.Name] = primary(at(1, 1000))
+			slices = append(slices, n.Slice)
+		}
+		list = append(list, n)
+	}
+	conns := map[ConnID]string{}
+	reply := func(cmds []Command) (events []Event) {
+		for _, c := range cmds {
+			switch c.Kind {
+			case CommandDial:
+				conns[c.Conn] = c.Node
+				events = append(events, Event{Kind: EventDialed, Conn: c.Conn})
+			case CommandAsk, CommandSend:
+				events = append(events, Event{Kind: EventResult, Conn: c.Conn, Result: Result{Began: true, Done: true, Facts: roles[conns[c.Conn]]}})
+			}
+		}
+		return events
+	}
+	events := []Event{{Kind: EventList, List: balance.ListCached, Nodes: list}}
+	now := time.Hour
+	for range 200 {
+		now += 5 * ms
+		events = reply(e.Step(now, events, nil))
+	}
+	return e, slices, reply
+}
+
+// BenchmarkEngine is the CPU time of one request from its arrival to its answer, all events included, before
+// fleets of several sizes. Polls run beside it as in service.
+func BenchmarkEngine(b *testing.B) {
+	for _, nodes := range []int{6, 30, 120, 480} {
+		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
+			e, slices, reply := benchEngine(b, nodes)
+			now := 2 * time.Hour
+			b.ReportAllocs()
+			b.ResetTimer()
+			var events []Event
+			for i := range b.N {
+				now += 500 * time.Microsecond // 2,000 requests a second
+				events = append(events, Event{Kind: EventRequest, Request: RequestID(i + 1), Ask: Ask{Class: classArticle + 2*(i%2),
+					Slice: slices[i%len(slices)], Token: token.Token{}, Deadline: now + time.Second}})
+				events = reply(e.Step(now, events, nil))
+			}
+		})
+	}
+}
+
+// BenchmarkMemory reports the engine's memory for each request that is held. It wants -benchtime 1x.
+func BenchmarkMemory(b *testing.B) {
+	if b.N > 10 {
+		b.Skip("each round holds 10,000 requests; use -benchtime 1x")
+	}
+	heap := func() float64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for range b.N {
+		e, slices, reply := benchEngine(b, 6)
+		const n = 10000
+		before := heap()
+		var events []Event
+		for i := range n {
+			events = append(events, Event{Kind: EventRequest, Request: RequestID(i + 1), Ask: Ask{Class: classWrite, Slice: slices[0],
+				Session: "s", Deadline: 3 * time.Hour}})
+		}
+		cmds := e.Step(2*time.Hour, events, nil)
+		b.ReportMetric((heap()-before)/n, "B/held")
+		b.ReportMetric(float64(e.Held()), "held")
+		reply(cmds)
+		runtime.KeepAlive(e)
+	}
+}
--- a/lab/badday.go
+++ b/lab/badday.go
@@ -16,8 +16,8 @@
 )
 
 // SmallNode is a stand-in whose capacity a handful of clients can press against.
-var SmallNode = standin.Config{Cores: 2, Read: 4 * time.Millisecond, Write: 4 * time.Millisecond,
-	Ship: 5 * time.Millisecond, Apply: time.Millisecond, MaxConns: 200, ColdFrom: 0.2, Ramp: 3 * time.Second}
+var SmallNode = standin.Config{Cores: 1, Read: 8 * time.Millisecond, Write: 6 * time.Millisecond,
+	Ship: 5 * time.Millisecond, Apply: time.Millisecond, MaxConns: 200, ColdFrom: 0.1, Ramp: 3 * time.Second}
 
 // day is a run of a fleet under clients while faults strike.
 type day struct {
--- a/lab/replay.go
+++ b/lab/replay.go
@@ -57,6 +57,9 @@
 	if r.Counts[Served] == 0 {
 		r.Missing = append(r.Missing, "no request served")
 	}
+	if len(p.faults) == 0 && len(skipped) < len(file.Troubles) {
+		r.Missing = append(r.Missing, "no trouble of the day struck")
+	}
 	for _, s := range skipped {
 		r.Faults = append(r.Faults, s+" (not played)")
 	}
