The loop writes exchanges itself, without ever waiting for a socket

Cause: each exchange went through a writer goroutine, one hop more than a plain relay needs. Change: one non-blocking write by the loop; only what a full socket leaves goes to a goroutine.

--- a/server/conn.go
+++ b/server/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"umberladder/balance"
@@ -29,19 +30,23 @@
 	stream *stream // nil unless its rows go out as they come
 }
 
-// conn is one connection to a db node: one goroutine writes, one reads. It tells the loop what happens, each
+// conn is one connection to a db node. A goroutine of its own opens it and reads; the loop writes. It tells the loop what happens, each
 // exchange exactly one result, and after its last word (closed, or a broken result) nothing more.
 type conn struct {
 	id      driver.ConnID
 	address string
 	inbox   *inbox
-	jobs    chan job
 	cancel  context.CancelFunc
 	ctx     context.Context
 	warn    func(format string, args ...any)
 	stream  *stream // the loop's: where the rows of the present exchange go, nil unless streamed
 
+	writes sync.WaitGroup // of what a socket did not take at once
+
 	mu       sync.Mutex
+	nc       net.Conn // nil while it opens
+	raw      syscall.RawConn
+	buf      []byte
 	out      *job // what is awaited
 	ended    bool
 	unsent   bool // not a byte of out was taken by the system
@@ -49,11 +54,8 @@
 	byParams bool
 }
 
-// queued is how many exchanges may be handed over before one is done; the engine hands over one.
-const queued = 2
-
 func newConn(ctx context.Context, id driver.ConnID, address string, in *inbox, warn func(string, ...any)) *conn {
-	c := &conn{id: id, address: address, inbox: in, jobs: make(chan job, queued), warn: warn}
+	c := &conn{id: id, address: address, inbox: in, warn: warn}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	return c
 }
@@ -76,12 +78,17 @@
 		c.tell(driver.Event{Kind: driver.EventDialed, Conn: c.id, Dial: failure})
 		return
 	}
+	c.mu.Lock()
+	c.nc = nc
+	if sc, ok := nc.(syscall.Conn); ok {
+		c.raw, _ = sc.SyscallConn()
+	}
+	c.mu.Unlock()
 	c.tell(driver.Event{Kind: driver.EventDialed, Conn: c.id})
-	var writer sync.WaitGroup
-	writer.Go(func() { c.write(nc) })
 	c.finish(c.read(r, params))
 	c.cancel()
-	writer.Wait()
+	nc.Close()
+	c.writes.Wait()
 }
 
 func (c *conn) tell(ev driver.Event) { c.inbox.put(ev) }
@@ -143,36 +150,57 @@
 	return &driver.DialError{Full: driver.Judge(&driver.Result{Err: e}).Outcome == balance.OutcomeFull, Err: e}
 }
 
-// write sends what the loop hands over.
-func (c *conn) write(nc net.Conn) {
-	var b []byte
-	for {
-		var j job
-		select {
-		case j = <-c.jobs:
-		case <-c.ctx.Done():
-			return
-		}
-		c.mu.Lock()
-		if c.ended {
-			c.mu.Unlock()
-			return // the loop hears, or has heard, that the connection closed before this went out
-		}
-		c.out = &j
-		c.mu.Unlock()
-		b = appendExchange(b[:0], j.kind, c.byParams, j.st)
-		n, err := nc.Write(b)
-		if err != nil {
+// start sends an exchange. The loop calls it, so it makes one attempt that can't block; what the socket does
+// not take at once goes out in a goroutine of its own. On a connection that has ended it does nothing: the
+// loop hears, or has heard, that it closed before this went out.
+func (c *conn) start(j job) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended || c.nc == nil {
+		return
+	}
+	c.out = &j
+	c.buf = appendExchange(c.buf[:0], j.kind, c.byParams, j.st)
+	n, err := c.tryWrite(c.buf)
+	switch {
+	case err != nil:
+		c.unsent = n == 0
+		c.nc.Close() // the reader tells the loop
+	case n < len(c.buf):
+		c.rest(append([]byte(nil), c.buf[n:]...), n == 0)
+	}
+	if cap(c.buf) > 1<<16 {
+		c.buf = nil
+	}
+}
+
+// tryWrite writes what the socket takes now. A full socket is no error.
+func (c *conn) tryWrite(b []byte) (n int, err error) {
+	if c.raw == nil {
+		return 0, nil
+	}
+	if e := c.raw.Write(func(fd uintptr) bool {
+		n, err = syscall.Write(int(fd), b)
+		return true // never wait for the socket
+	}); e != nil {
+		err = e
+	}
+	if errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) {
+		err = nil
+	}
+	return max(n, 0), err
+}
+
+// rest sends what is left of an exchange, waiting for the socket.
+func (c *conn) rest(b []byte, first bool) {
+	c.writes.Go(func() {
+		if n, err := c.nc.Write(b); err != nil {
 			c.mu.Lock()
-			c.unsent = n == 0
+			c.unsent = first && n == 0
 			c.mu.Unlock()
-			nc.Close()
-			return
-		}
-		if cap(b) > 1<<16 {
-			b = nil
+			c.nc.Close()
 		}
-	}
+	})
 }
 
 // read follows the node's messages until the connection ends, and returns why it did.
--- a/server/loop.go
+++ b/server/loop.go
@@ -92,7 +92,7 @@
 		l.send(cmd)
 	case driver.CommandAsk:
 		if c := l.conns[cmd.Conn]; c != nil {
-			c.jobs <- job{kind: exchangeAsk, sink: &reply{}}
+			c.start(job{kind: exchangeAsk, sink: &reply{}})
 		}
 	case driver.CommandCancel:
 		if c := l.conns[cmd.Conn]; c != nil {
@@ -141,5 +141,5 @@
 	} else {
 		j.sink = &reply{most: call.most}
 	}
-	c.jobs <- j
+	c.start(j)
 }
--- a/server/server.go
+++ b/server/server.go
@@ -1,6 +1,6 @@
 // Package server is the shell around the engine of package driver: it serves clients over gRPC and speaks the
-// PostgreSQL protocol to db nodes. One loop owns the engine; every connection has a goroutine that writes and
-// one that reads; contexts bound how long each lives. docs/architecture.md shows how a request flows.
+// PostgreSQL protocol to db nodes. One loop owns the engine; every connection has a goroutine that opens
+// it and reads; contexts bound how long each lives. docs/architecture.md shows how a request flows.
 package server
 
 import (
--- a/standin/sql.go
+++ b/standin/sql.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"strconv"
 	"strings"
+	"sync"
 
 	"umberladder/pgwire"
 	"umberladder/position"
@@ -37,7 +38,21 @@
 	{"copy", KindOther, nil, nil},
 }
 
+// known holds the forms of texts seen before, as the same ones come again and again.
+var known sync.Map
+
 func formOf(sql string) *sqlForm {
+	if f, ok := known.Load(sql); ok {
+		return f.(*sqlForm)
+	}
+	f := findForm(sql)
+	if len(sql) < 200 {
+		known.Store(strings.Clone(sql), f)
+	}
+	return f
+}
+
+func findForm(sql string) *sqlForm {
 	words := strings.ToLower(strings.Join(strings.Fields(sql), " "))
 	for i := range forms {
 		if strings.HasPrefix(words, forms[i].prefix) {
