--- a/driver/engine.go
+++ b/driver/engine.go
@@ -45,6 +45,7 @@
 type Engine struct {
 	cfg      Config
 	router   *balance.Router
+	twins    []int // by class, the module's class for a request of it that carries a token
 	now      time.Duration
 	cmds     []Command
 	news     []balance.Event // for the module
@@ -88,11 +89,12 @@
 		return nil, err
 	}
 	cfg.Router.RouterTokens = false // sessions reach the module as the age of what they must see
-	router, err := balance.New(cfg.Router, seed)
+	told, twins := withTwins(cfg.Router)
+	router, err := balance.New(told, seed)
 	if err != nil {
 		return nil, err
 	}
-	e := &Engine{cfg: cfg, router: router, requests: map[RequestID]*request{}, nodes: map[balance.ServerID]*node{},
+	e := &Engine{cfg: cfg, router: router, twins: twins, requests: map[RequestID]*request{}, nodes: map[balance.ServerID]*node{},
 		byName: map[string]*node{}, conns: map[ConnID]*conn{}, slices: map[string]*slice{}}
 	e.sessions.place = func(name string, by time.Duration) (position.Position, bool) {
 		return e.slices[name].clock.After(by)
@@ -100,6 +102,23 @@
 	return e, nil
 }
 
+// withTwins adds to the module's classes, for each one whose reads need not see a session's writes, a twin whose
+// reads do: that is how the module hears of a token that comes with such a read.
+func withTwins(cfg balance.Config) (balance.Config, []int) {
+	classes := cfg.Classes
+	cfg.Classes = slices.Clone(classes)
+	twins := make([]int, len(classes))
+	for i, c := range classes {
+		twins[i] = i
+		if c.Need == balance.NeedBounded || c.Need == balance.NeedAny {
+			c.Need = balance.NeedSession
+			twins[i] = len(cfg.Classes)
+			cfg.Classes = append(cfg.Classes, c)
+		}
+	}
+	return cfg, twins
+}
+
 // Held is how many requests have no final answer yet.
 func (e *Engine) Held() int { return e.held }
 
@@ -213,8 +232,15 @@
 	}
 	e.requests[q.id] = q
 	e.held++
-	e.tell(balance.Event{Kind: balance.EventRequest, Request: q.id, Class: q.ask.Class, Group: q.slice.group,
-		Key: xxhash.Sum64String(q.ask.Session), Deadline: q.ask.Deadline - e.cfg.AnswerMargin, SinceWrite: e.since(q)})
+	class, since := q.ask.Class, e.since(q)
+	if since > 0 && e.twins[class] != class {
+		if q.class.Need == balance.NeedBounded {
+			since = min(since, q.class.Bound)
+		}
+		class = e.twins[class]
+	}
+	e.tell(balance.Event{Kind: balance.EventRequest, Request: q.id, Class: class, Group: q.slice.group,
+		Key: xxhash.Sum64String(q.ask.Session), Deadline: q.ask.Deadline - e.cfg.AnswerMargin, SinceWrite: since})
 }
 
 // refuses tells why a request is not taken at all, CauseNone if it is.
--- a/driver/engine_test.go
+++ b/driver/engine_test.go
@@ -436,3 +436,22 @@
 		t.Error("a configuration without classes was taken")
 	}
 }
+
+// TestTokenWithABoundedRead: the token counts beside the bound, and no attempt is wasted on replicas behind it.
+func TestTokenWithABoundedRead(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	r.nodes["p"].facts = primary(at(1, 1500))
+	for _, class := range []int{classArticle, classStats} {
+		id := r.ask(class, token.Token{}.With("news", at(1, 1500)))
+		r.run(30 * ms)
+		c := r.sent(id)
+		if c.Node != "p" {
+			t.Errorf("class %d went to %s, which stands at 1000", class, c.Node)
+		}
+		r.reply(c)
+		if a := r.answer(id); a.Status != Served || a.Attempts != 1 {
+			t.Errorf("class %d: %+v", class, a)
+		}
+	}
+	r.quiet()
+}
--- a/lab/client.go
+++ b/lab/client.go
@@ -163,7 +163,11 @@
 func text(v string) *pb.Value { return &pb.Value{Kind: &pb.Value_TextValue{TextValue: v}} }
 
 func (s *session) request(c *Call) *pb.ExecuteRequest {
-	req := &pb.ExecuteRequest{Slice: c.Slice, Class: c.Class.Name, Session: s.name, Token: s.tokens[c.Slice],
+	carried := s.tokens[c.Slice]
+	if c.Class.Need != balance.NeedSession && s.rng.IntN(4) > 0 {
+		carried = "" // most clients carry it only where they must
+	}
+	req := &pb.ExecuteRequest{Slice: c.Slice, Class: c.Class.Name, Session: s.name, Token: carried,
 		Timeout: durationpb.New(c.Wait), Parameters: []*pb.Value{text(c.Key), text(c.Tag)},
 		Statement: "select value, lsn from kv where key = $1 and $2 <> ''"}
 	switch {
@@ -210,7 +214,7 @@
 
 func (s *session) heard(c *Call, res *pb.ExecuteResponse) {
 	c.Served = res.Served
-	if !c.Class.Stream {
+	if c.Class.Need == balance.NeedWrite || c.Class.Need == balance.NeedSession {
 		s.tokens[c.Slice] = res.Token
 	}
 	if len(res.Rows) > 0 {
--- /dev/null
+++ b/lab/lab_test.go
@@ -0,0 +1,159 @@
+package lab
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"umberladder/balance"
+	"umberladder/standin"
+)
+
+// TestBadDay plays one day; `umberladder lab badday --seed N` plays others.
+func TestBadDay(t *testing.T) {
+	check(t, func() (*Report, error) { return BadDay(11) })
+}
+
+func TestDemo(t *testing.T) {
+	var out bytes.Buffer
+	check(t, func() (*Report, error) { return Demo(&out) })
+	if !strings.HasSuffix(out.String(), "rules broken: 0\n") {
+		t.Errorf("the demo ends with:\n%s", out.String())
+	}
+}
+
+func check(t *testing.T, run func() (*Report, error)) {
+	t.Helper()
+	r, err := run()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Broken() > 0 {
+		var b bytes.Buffer
+		r.Write(&b)
+		t.Error(b.String())
+	}
+}
+
+// TestReplay writes a small day in the form of the users' bench, with kinds of trouble of every sort, and plays it.
+func TestReplay(t *testing.T) {
+	day := map[string]any{"site": "test", "kind": "trouble", "length": 40e6, "zones": []string{"north", "south"},
+		"traffic": map[string]any{"load": 0.5, "shape": [][2]float64{{0, 1}}}, "allow": map[string]any{"max_attempts": 6},
+		"drain_grace": 5e5, "fall_multiple": 3, "fall_for": 1e6,
+		"classes": []map[string]any{
+			{"name": "browse", "share": 0.6, "aim": 4e5, "deadline": 1.5e6, "worth": 1, "effect": "safe"},
+			{"name": "own", "share": 0.2, "aim": 4e5, "deadline": 1.5e6, "worth": 1, "effect": "safe"},
+			{"name": "post", "share": 0.2, "aim": 5e5, "deadline": 2e6, "worth": 6, "effect": "keyed", "window": 2e6}},
+		"tiers":     []any{map[string]any{"kinds": []any{map[string]any{"cores": 4, "cold_from": 0.2, "cold": 8e6}}}},
+		"servers":   []map[string]any{{"zone": 0, "cell": 0, "up": true}, {"zone": 1, "cell": 0, "up": true}, {"zone": 0, "cell": 0, "up": true}},
+		"balancers": []map[string]any{{"zone": 0}, {"zone": 1}},
+		"fam":       map[string]any{"read": []int{1, 2, 4}, "bound": []float64{3e6, 0, 0}, "primary": []int{0}, "ship": 5e3, "detect": 1e6, "elect": 1e6},
+		"troubles": []map[string]any{
+			{"kind": "crash", "at": 5e6, "len": 8e6, "on": []int{0}},
+			{"kind": "slow_link", "at": 16e6, "len": 6e6, "size": 0.3, "extra": 0.1, "which": 1, "how": "zone"},
+			{"kind": "balancer_roll", "at": 24e6, "extra": 0.5, "steps": []any{map[string]any{"at": 24e6, "stop": []int{0}}}},
+			{"kind": "nobody knows", "at": 1e6, "len": 1e6}}}
+	text, _ := json.Marshal(day)
+	path := filepath.Join(t.TempDir(), "day.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var r *Report
+	check(t, func() (_ *Report, err error) { r, err = Replay(path, 3); return r, err })
+	if faults := strings.Join(r.Faults, " "); !strings.Contains(faults, "nobody knows (not played)") || !strings.Contains(faults, "crash 1") {
+		t.Errorf("faults: %s", faults)
+	}
+	for name, text := range map[string]string{"no JSON": "{", "no classes": "{}",
+		"strikes nobody": strings.Replace(string(text), `"on":[0]`, `"on":[99]`, 1)} {
+		os.WriteFile(path, []byte(text), 0o600)
+		if _, err := Replay(path, 1); err == nil || !strings.Contains(err.Error(), path) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// judged makes a fleet that served nothing, with the calls and statements given, and judges it.
+func judged(t *testing.T, calls []Call, statements []standin.Statement, notices []Notice, starts []standin.Start) map[string]*Rule {
+	t.Helper()
+	f := &Fleet{Spec: Spec{Site: UsersSite(), Node: SmallNode}, Trace: standin.NewTrace(), notices: notices}
+	f.Drivers = []*Driver{{Name: "d", ended: []span{{time.Unix(0, 0), time.Unix(1000, 0)}}}}
+	g := standin.NewGroup("news", time.Second, f.Trace)
+	f.Groups = []*standin.Group{g}
+	f.Trace.Replace(statements, starts)
+	rules := map[string]*Rule{}
+	for _, r := range Judge(f, calls, 10*time.Millisecond) {
+		rules[r.Name] = r
+	}
+	return rules
+}
+
+func sec(s float64) time.Time { return time.Unix(100, 0).Add(time.Duration(s * float64(time.Second))) }
+
+// TestJudgeSeesBrokenRules gives the judge traffic that breaks each rule, and its twin that doesn't.
+func TestJudgeSeesBrokenRules(t *testing.T) {
+	site := UsersSite()
+	class := func(name string) *Class {
+		for i := range site.Classes {
+			if site.Classes[i].Name == name {
+				return &site.Classes[i]
+			}
+		}
+		t.Fatal(name)
+		return nil
+	}
+	call := func(name string, v Verdict, answered float64) Call {
+		c := class(name)
+		return Call{Tag: "x", Class: c, Slice: "news", Driver: "d", Sent: sec(0), Answered: sec(answered), Wait: c.Deadline, Verdict: v}
+	}
+	st := func(node string, arrived, ended float64, how func(*standin.Statement)) standin.Statement {
+		s := standin.Statement{Node: node, Driver: "d", Kind: standin.KindWrite, Tag: "x", Arrived: sec(arrived), Ended: sec(ended), Ran: true}
+		if how != nil {
+			how(&s)
+		}
+		return s
+	}
+	refused := func(s *standin.Statement) { s.Ran, s.Code = false, "25006" }
+	lost := func(s *standin.Statement) { s.Ran = false }
+	var burst []standin.Statement
+	for i := range 200 {
+		burst = append(burst, st("db1", 0.2+float64(i)*0.001, 0.21+float64(i)*0.001, func(s *standin.Statement) { s.Kind, s.Tag = standin.KindRead, "y" }))
+	}
+	for _, c := range []struct {
+		rule, name string
+		broken     bool
+		calls      []Call
+		sts        []standin.Statement
+		notices    []Notice
+		starts     []standin.Start
+	}{
+		{"one final answer", "answered", false, []Call{call("write", Served, 1)}, nil, nil, nil},
+		{"one final answer", "never answered", true, []Call{call("write", Unanswered, 8)}, nil, nil, nil},
+		{"one final answer", "answered too late", true, []Call{call("write", Refused, 3.2)}, nil, nil, nil},
+		{"one final answer", "sent after", true, []Call{call("write", Refused, 0.5)}, []standin.Statement{st("db0", 0.6, 0.7, nil)}, nil, nil},
+		{"no second effect", "once", false, []Call{call("write", Served, 1)}, []standin.Statement{st("db0", 0.1, 0.2, nil)}, nil, nil},
+		{"no second effect", "again after a refusal", false, []Call{call("write", Served, 1)}, []standin.Statement{st("db0", 0.1, 0.2, refused), st("db1", 0.3, 0.4, nil)}, nil, nil},
+		{"no second effect", "ran twice", true, []Call{call("write", Served, 1)}, []standin.Statement{st("db0", 0.1, 0.2, nil), st("db1", 0.3, 0.4, nil)}, nil, nil},
+		{"no second effect", "again though it may have run", true, []Call{call("write", Served, 1)}, []standin.Statement{st("db0", 0.1, 0.2, lost), st("db1", 0.3, 0.4, nil)}, nil, nil},
+		{"no second effect", "a keyed one inside its window", false, []Call{call("post", Served, 1)}, []standin.Statement{st("db0", 0.1, 0.2, lost), st("db1", 0.3, 0.4, nil)}, nil, nil},
+		{"no second effect", "a keyed one outside its window", true, []Call{call("post", Served, 1)}, []standin.Statement{st("db0", 0.1, 0.2, lost), st("db1", 2.3, 2.4, nil)}, nil, nil},
+		{"no second effect", "two at once", true, []Call{call("article-read", Served, 1)}, []standin.Statement{st("db0", 0.1, 0.9, nil), st("db1", 0.3, 0.4, nil)}, nil, nil},
+		{"drains kept", "inside the grace", false, nil, []standin.Statement{st("db1", 0.4, 0.5, nil)}, []Notice{{"d", "db1", balance.LifeDraining, sec(0)}}, nil},
+		{"drains kept", "after the grace", true, nil, []standin.Statement{st("db1", 0.6, 0.7, nil)}, []Notice{{"d", "db1", balance.LifeDraining, sec(0)}}, nil},
+		{"drains kept", "gone after it drained", true, nil, []standin.Statement{st("db1", 0.6, 0.7, nil)}, []Notice{{"d", "db1", balance.LifeDraining, sec(0)}, {"d", "db1", balance.LifeGone, sec(0.5)}}, nil},
+		{"drains kept", "ready again", false, nil, []standin.Statement{st("db1", 1.6, 1.7, nil)}, []Notice{{"d", "db1", balance.LifeDraining, sec(0)}, {"d", "db1", balance.LifeReady, sec(1)}}, nil},
+		{"cold nodes spared", "pushed over", true, nil, burst, nil, []standin.Start{{Node: "db1", At: sec(0.1), Cold: true}}},
+		{"cold nodes spared", "spared", false, nil, burst[:20], nil, []standin.Start{{Node: "db1", At: sec(0.1), Cold: true}}},
+	} {
+		r := judged(t, c.calls, c.sts, c.notices, c.starts)[c.rule]
+		if (len(r.Broken) > 0) != c.broken {
+			t.Errorf("%s, %s: broken %v", c.rule, c.name, r.Broken)
+		}
+		if r.Chances == 0 {
+			t.Errorf("%s, %s: no chance counted", c.rule, c.name)
+		}
+	}
+}
--- a/standin/log.go
+++ b/standin/log.go
@@ -219,7 +219,8 @@
 		due := next.at.Add(n.cfg.Ship)
 		cost := time.Duration(float64(n.cfg.Apply) * max(1, n.slowApply))
 		g.mu.Unlock()
-		pause(run.ctx, time.Until(due)+cost)
+		pause(run.ctx, time.Until(due))
+		pause(run.ctx, cost) // one that is behind needs as long for each record
 		g.mu.Lock()
 		if n.branch == b && !n.believes && n.applied < len(b.records) && b.records[n.applied] == next {
 			n.applied++
--- a/standin/trace.go
+++ b/standin/trace.go
@@ -117,3 +117,13 @@
 	defer t.mu.Unlock()
 	t.starts = append(t.starts, s)
 }
+
+// Replace puts statements and starts in the place of what was recorded, for tests of what judges a trace.
+func (t *Trace) Replace(statements []Statement, starts []Start) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.statements, t.starts = nil, starts
+	for i := range statements {
+		t.statements = append(t.statements, &statements[i])
+	}
+}
