inventory check, show, diff, convert, lint, status, apply and schema

Cause: people want to know before a file goes live what is wrong with it and what a driver would do.

--- /dev/null
+++ b/cmd/umberladder/inventory.go
@@ -0,0 +1,267 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"umberladder/inventory"
+	"umberladder/membership"
+	"umberladder/server"
+	"umberladder/settings"
+)
+
+func inventoryCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "inventory", Short: "Check, show and compare lists of db nodes, and steer how a driver takes them"}
+	cmd.AddCommand(inventoryCheck(), inventoryShow(), inventoryConvert(), inventoryDiff(), inventoryLint(), inventoryApply(), inventoryStatus(),
+		&cobra.Command{Use: "schema", Short: "Print the JSON Schema of the YAML forms, for editors", Args: cobra.NoArgs,
+			RunE: func(cmd *cobra.Command, _ []string) error {
+				_, err := cmd.OutOrStdout().Write(inventory.Schema)
+				return err
+			}})
+	return cmd
+}
+
+// load reads an inventory; its problems go to standard error, one a line.
+func load(cmd *cobra.Command, paths []string, o inventory.Options) (*inventory.Set, error) {
+	set, err := inventory.Load(paths, o)
+	var problems inventory.Problems
+	if errors.As(err, &problems) {
+		fmt.Fprintln(cmd.ErrOrStderr(), err)
+		return nil, errQuiet
+	}
+	return set, err
+}
+
+// optionFlags lets a command check against a driver's settings.
+func optionFlags(cmd *cobra.Command) func() (inventory.Options, error) {
+	config := cmd.Flags().String("config", "", "settings whose halls and 'membership least' are checked too")
+	return func() (inventory.Options, error) {
+		if *config == "" {
+			return inventory.Options{}, nil
+		}
+		s, err := settings.Read(*config)
+		if err != nil {
+			return inventory.Options{}, err
+		}
+		return inventory.Options{Halls: s.Halls, MinMembers: s.LeastMembers}, nil
+	}
+}
+
+func inventoryCheck() *cobra.Command {
+	cmd := &cobra.Command{Use: "check PATH ...", Short: "Tell every mistake; exit 1 if there is one", Args: cobra.MinimumNArgs(1)}
+	options := optionFlags(cmd)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		o, err := options()
+		if err != nil {
+			return err
+		}
+		set, err := load(cmd, args, o)
+		if err == nil {
+			fmt.Fprintf(cmd.OutOrStdout(), "good; %d nodes\n", len(set.Nodes))
+		}
+		return err
+	}
+	return cmd
+}
+
+func inventoryShow() *cobra.Command {
+	cmd := &cobra.Command{Use: "show PATH ...", Short: "Print the nodes of an inventory", Args: cobra.MinimumNArgs(1)}
+	options := optionFlags(cmd)
+	format := cmd.Flags().String("format", "table", "one of "+strings.Join(inventory.Formats, ", "))
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		o, err := options()
+		if err != nil {
+			return err
+		}
+		set, err := load(cmd, args, o)
+		if err != nil {
+			return err
+		}
+		return set.Write(cmd.OutOrStdout(), *format)
+	}
+	return cmd
+}
+
+func inventoryConvert() *cobra.Command {
+	cmd := &cobra.Command{Use: "convert PATH ...", Short: "Write an inventory in another form", Args: cobra.MinimumNArgs(1)}
+	to := cmd.Flags().String("to", "yaml", "yaml or csv")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if *to != "yaml" && *to != "csv" {
+			return fmt.Errorf("--to %q is neither yaml nor csv", *to)
+		}
+		set, err := load(cmd, args, inventory.Options{})
+		if err != nil {
+			return err
+		}
+		return set.Write(cmd.OutOrStdout(), *to)
+	}
+	return cmd
+}
+
+func inventoryDiff() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "diff A B",
+		Short: "Tell what a driver would do if inventory B took the place of A, and what it would hold back",
+		Args:  cobra.ExactArgs(2),
+	}
+	config := cmd.Flags().String("config", "", "settings whose membership block counts")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		cfg := membership.Defaults()
+		if *config != "" {
+			s, err := settings.Read(*config)
+			if err != nil {
+				return err
+			}
+			cfg = s.Members
+		}
+		a, err := load(cmd, args[:1], inventory.Options{})
+		if err != nil {
+			return err
+		}
+		b, err := load(cmd, args[1:], inventory.Options{})
+		if err != nil {
+			return err
+		}
+		steps := membership.Diff(cfg, a, b)
+		t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 4, 2, ' ', 0)
+		for _, s := range steps {
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", s.What, s.Slice, s.Node, s.Note)
+		}
+		if len(steps) == 0 {
+			fmt.Fprintln(t, "nothing changes")
+		}
+		return t.Flush()
+	}
+	return cmd
+}
+
+func inventoryLint() *cobra.Command {
+	return &cobra.Command{
+		Use:   "lint PATH ...",
+		Short: "Tell what is legal but odd; exit 0 all the same",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			set, err := load(cmd, args, inventory.Options{})
+			if err != nil {
+				return err
+			}
+			files, err := inventory.ReadFiles(args)
+			if err != nil {
+				return err
+			}
+			for _, p := range inventory.Lint(files, set, time.Now()) {
+				fmt.Fprintln(cmd.OutOrStdout(), p)
+			}
+			return nil
+		},
+	}
+}
+
+// control talks to a driver over its control socket.
+func control(ctx context.Context, socket, method, path string) (*server.Status, error) {
+	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "unix", socket)
+	}}, Timeout: 10 * time.Second}
+	req, err := http.NewRequestWithContext(ctx, method, "http://driver"+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("control socket %s: %w", socket, err)
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(res.Body, 64<<20))
+	if err != nil || res.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("the driver answered %s: %s", res.Status, strings.TrimSpace(string(text)))
+	}
+	var st server.Status
+	return &st, json.Unmarshal(text, &st)
+}
+
+func controlFlags(cmd *cobra.Command) func() (string, error) {
+	socket := cmd.Flags().String("control", "", "path of the driver's control socket")
+	config := cmd.Flags().String("config", "", "settings that name it")
+	return func() (string, error) {
+		if *socket != "" {
+			return *socket, nil
+		}
+		if *config == "" {
+			return "", errors.New("name the driver by --control SOCKET or --config FILE")
+		}
+		s, err := settings.Read(*config)
+		if err == nil && s.Control == "" {
+			err = fmt.Errorf("%s sets no 'state control'", *config)
+		}
+		if err != nil {
+			return "", err
+		}
+		return s.Control, nil
+	}
+}
+
+func inventoryApply() *cobra.Command {
+	cmd := &cobra.Command{Use: "apply --confirm", Short: "Tell a driver that what its inventory lacks is meant", Args: cobra.NoArgs}
+	socket := controlFlags(cmd)
+	confirm := cmd.Flags().Bool("confirm", false, "without it nothing is done but shown")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		path, err := socket()
+		if err != nil {
+			return err
+		}
+		method, where := http.MethodGet, "/inventory"
+		if *confirm {
+			method, where = http.MethodPost, "/inventory/confirm"
+		}
+		st, err := control(cmd.Context(), path, method, where)
+		if err != nil {
+			return err
+		}
+		return printStatus(cmd, st)
+	}
+	return cmd
+}
+
+func inventoryStatus() *cobra.Command {
+	cmd := &cobra.Command{Use: "status", Short: "Tell what a driver has in force and what it holds back", Args: cobra.NoArgs}
+	socket := controlFlags(cmd)
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		path, err := socket()
+		if err != nil {
+			return err
+		}
+		st, err := control(cmd.Context(), path, http.MethodGet, "/inventory")
+		if err != nil {
+			return err
+		}
+		return printStatus(cmd, st)
+	}
+	return cmd
+}
+
+func printStatus(cmd *cobra.Command, st *server.Status) error {
+	w := cmd.OutOrStdout()
+	fmt.Fprintf(w, "%d nodes in force, from %s, taken %s\n", st.Members, strings.Join(st.Files, " "), st.Taken.Format(time.RFC3339))
+	if st.Bad != "" {
+		fmt.Fprintf(w, "the files are bad since %s:\n%s\n", st.BadSince.Format(time.RFC3339), st.Bad)
+	}
+	lacked := slices.ContainsFunc(st.Held, func(h membership.Held) bool { return h.Lacked })
+	for _, h := range st.Held {
+		fmt.Fprintf(w, "held back: %s of %s: %s\n", h.Node, h.Slice, h.Why)
+	}
+	if lacked {
+		fmt.Fprintln(w, "umberladder inventory apply --confirm takes it as meant")
+	}
+	return nil
+}
--- /dev/null
+++ b/membership/diff.go
@@ -0,0 +1,70 @@
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"umberladder/inventory"
+)
+
+// Step is one thing that a driver would do when a list takes the place of another.
+type Step struct {
+	What  string // add, remove, move, drain, gone, ready, restart, hall, labels, hold
+	Node  string
+	Slice string
+	Note  string
+}
+
+// Diff is what a driver with list a in force would do on list b: what it takes at once or by and by, and what
+// it would hold back.
+func Diff(cfg Config, a, b *inventory.Set) []Step {
+	m := New(cfg, 1)
+	m.List(0, a)
+	held := map[string]Held{}
+	for _, h := range m.List(1, b).Held {
+		held[h.Node] = h
+	}
+	old := map[string]inventory.Node{}
+	for _, n := range a.Nodes {
+		old[n.Name] = n
+	}
+	var steps []Step
+	add := func(n inventory.Node, what, note string) { steps = append(steps, Step{what, n.Name, n.Slice, note}) }
+	for _, n := range b.Nodes {
+		was, known := old[n.Name]
+		delete(old, n.Name)
+		if !known {
+			add(n, "add", n.Address())
+			continue
+		}
+		compare(was, n, add)
+	}
+	for name, n := range old {
+		if held[name].Lacked {
+			add(n, "hold", "the list lacks it; it stays until confirmed: "+held[name].Why)
+		} else {
+			add(n, "remove", "the list lacks it")
+		}
+	}
+	slices.SortStableFunc(steps, func(x, y Step) int { return cmp.Or(cmp.Compare(x.Slice, y.Slice), cmp.Compare(x.Node, y.Node)) })
+	return steps
+}
+
+func compare(was, n inventory.Node, add func(inventory.Node, string, string)) {
+	if was.Address() != n.Address() || was.Slice != n.Slice {
+		add(n, "move", was.Slice+" "+was.Address()+" to "+n.Slice+" "+n.Address()+", as another node")
+	}
+	if was.State != n.State {
+		add(n, map[inventory.State]string{inventory.Ready: "ready", inventory.Draining: "drain", inventory.Gone: "gone"}[n.State], "was "+string(was.State))
+	}
+	if !was.Started.Equal(n.Started) && !n.Started.IsZero() {
+		add(n, "restart", "it counts as cold")
+	}
+	if was.Hall != n.Hall {
+		add(n, "hall", was.Hall+" to "+n.Hall)
+	}
+	if !maps.Equal(was.Labels, n.Labels) {
+		add(n, "labels", "they changed")
+	}
+}
