--- a/lab/badday.go
+++ b/lab/badday.go
@@ -288,6 +288,9 @@
 		}
 		life(balance.LifeDraining)
 		d.wait(d.fleet.Spec.Site.Grace + 300*time.Millisecond)
+		if d.fleet.file != nil {
+			d.wait(noticeFile) // drivers have to read it first
+		}
 		life(balance.LifeGone)
 		d.wait(300 * time.Millisecond)
 		n.Die()
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -28,6 +28,7 @@
 	Site    Site      // UsersSite if it has no class
 	Layout  [][]Place // the nodes of each slice, the primary first; in place of Slices and Members
 	Halls   []string  // nodes and drivers are spread over them in turn; the users' two if empty
+	Dir     string    // if set, drivers follow an inventory file in it in place of being told
 	Node    standin.Config
 	Extra   string // further lines of the drivers' settings
 	Log     *zap.Logger
@@ -87,6 +88,7 @@
 	nodes   []settings.Node
 	notices []Notice
 	starts  uint64
+	file    *nodeFile // nil unless Spec.Dir is set
 }
 
 // NewFleet starts stand-ins and drivers. Close ends them.
@@ -113,6 +115,12 @@
 			f.nodes = append(f.nodes, settings.Node{Name: n.Name, Address: n.Addr(), Slice: g.Name, Hall: n.Hall})
 		}
 	}
+	if spec.Dir != "" {
+		f.file = newNodeFile(spec.Dir, spec.Seed)
+		f.file.there = func(nodes []settings.Node) { f.toldAll(nodes, true) }
+		f.file.stood = func(nodes []settings.Node) { f.toldAll(nodes, false) }
+		f.file.write(f.nodes)
+	}
 	for d := range spec.Drivers {
 		drv := &Driver{Name: fmt.Sprintf("driver%d", d), Hall: spec.Halls[d%len(spec.Halls)]}
 		f.Drivers = append(f.Drivers, drv)
@@ -129,9 +137,12 @@
 	text := f.Spec.Site.Settings() + "hall " + strings.Join(f.Spec.Halls, " ") + "\nhere " + d.Hall + "\n" +
 		fmt.Sprintf("listen grpc 127.0.0.1:0\nrouters %d\npool user %s\ncold ramp %s\ncold from %g%%\n", f.Spec.Drivers, d.Name,
 			f.Spec.Node.Ramp, 100*f.Spec.Node.ColdFrom) + f.Spec.Extra
+	if f.file != nil {
+		text += f.file.settings(d.Name)
+	}
 	s, err := settings.Parse("lab", text)
-	if err != nil {
-		return nil, err
+	if err != nil || f.file != nil {
+		return s, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -162,7 +173,12 @@
 	d.mu.Lock()
 	d.server, d.client, d.stop, d.done, d.started = srv, client, stop, done, time.Now()
 	d.mu.Unlock()
-	f.told(d.Name, s.Nodes)
+	f.mu.Lock()
+	nodes := append([]settings.Node(nil), f.nodes...)
+	f.mu.Unlock()
+	if f.file == nil {
+		f.told(d.Name, nodes)
+	}
 	go func() { done <- srv.Run(ctx) }()
 	return nil
 }
@@ -177,6 +193,22 @@
 	}
 }
 
+// toldAll notes what all drivers were told by a file: that a node is ready as soon as they can know it, that it
+// drains or is gone once they must.
+func (f *Fleet) toldAll(nodes []settings.Node, ready bool) {
+	var some []settings.Node
+	for _, n := range nodes {
+		if (n.Life == balance.LifeReady) == ready {
+			some = append(some, n)
+		}
+	}
+	for _, d := range f.Drivers {
+		if ready || d.standsSince(noticeFile) {
+			f.told(d.Name, some)
+		}
+	}
+}
+
 // Notices is all that drivers were told.
 func (f *Fleet) Notices() []Notice {
 	f.mu.Lock()
@@ -192,6 +224,10 @@
 	}
 	nodes := append([]settings.Node(nil), f.nodes...)
 	f.mu.Unlock()
+	if f.file != nil {
+		f.file.write(nodes)
+		return
+	}
 	for _, d := range f.Drivers {
 		if srv := d.running(); srv != nil {
 			srv.SetNodes(nodes)
@@ -241,6 +277,13 @@
 	return err
 }
 
+// standsSince tells whether the driver has run for so long.
+func (d *Driver) standsSince(t time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.server != nil && time.Since(d.started) >= t
+}
+
 // aliveDuring tells whether one life of the driver covers a time.
 func (d *Driver) aliveDuring(from, to time.Time) bool {
 	d.mu.Lock()
