--- a/inventory/ansible.go
+++ b/inventory/ansible.go
@@ -30,7 +30,7 @@
 type ansibleHost struct {
 	at     Origin
 	groups []*ansibleGroup
-	vars   []pair // later ones win
+	vars   [][]pair // of each mention; later ones win
 }
 
 func newAnsible(y *yamlFile) *ansible {
@@ -165,7 +165,7 @@
 			if !slices.Contains(host.groups, g) {
 				host.groups = append(host.groups, g)
 			}
-			host.vars = append(host.vars, vars...)
+			host.vars = append(host.vars, vars)
 		}
 	}
 }
@@ -211,16 +211,31 @@
 	})
 	vars := map[string]pair{}
 	for _, g := range groups {
-		for _, v := range g.vars {
-			vars[v.key.Value] = v
-		}
+		a.layer(vars, g.vars, "group "+strconv.Quote(g.name))
 	}
-	for _, v := range h.vars {
-		vars[v.key.Value] = v
+	for _, own := range h.vars {
+		a.layer(vars, own, "host "+strconv.Quote(name))
 	}
 	a.node(name, h, vars)
 }
 
+// layer puts variables over those that count less. A field has one name in the result, whichever of its names
+// a layer used; a layer that uses both contradicts itself.
+func (a *ansible) layer(vars map[string]pair, over []pair, whose string) {
+	told := map[string]bool{}
+	for _, v := range over {
+		field := v.key.Value
+		if f := aliases[field]; f != "" {
+			field = f
+		}
+		if told[field] && (field == "host" || field == "port") {
+			a.problem(a.at(v.key), "%s of %s is told as %s and as ansible_%s", field, whose, field, field)
+		}
+		told[field] = true
+		vars[field] = v
+	}
+}
+
 func (a *ansible) node(name string, h *ansibleHost, vars map[string]pair) {
 	r := newRaw(h.at)
 	r.values["name"] = value{name, h.at}
@@ -230,25 +245,16 @@
 		names = append(names, key)
 	}
 	slices.Sort(names)
-	told := map[string]bool{}
 	for _, key := range names {
-		p, field := vars[key], key
-		if f := aliases[key]; f != "" {
-			field = f
-		}
+		p := vars[key]
 		switch {
 		case key == "name":
 			a.problem(a.at(p.key), "the name of a host is its key; a variable \"name\" can't change it")
 		case key == "labels":
 			a.labels(r, p.value)
-		case slices.Contains(fields, field):
-			if told[field] {
-				a.problem(a.at(p.key), "%s of host %q is told as %s and as ansible_%s", field, name, field, field)
-				continue
-			}
-			told[field] = true
-			if text, ok := a.scalar(field, p.value); ok {
-				r.values[field] = value{text, a.at(p.value)}
+		case slices.Contains(fields, key):
+			if text, ok := a.scalar(key, p.value); ok {
+				r.values[key] = value{text, a.at(p.value)}
 			}
 		case !strings.HasPrefix(key, "ansible_") && slip(key, fields):
 			a.problem(a.at(p.key), "variable %q is not known%s", key, hint(key, fields))
