Server follows the inventory: tests of confirmation, bad files, last good start, 1,000 swaps

Cause: the follower had been seen to work in the lab only. Change: tests over the control socket, a benchmark from disk to first connection.

--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -336,3 +336,8 @@
 	}
 	return nil
 }
+
+// NodeOf is a stand-in as the list has it.
+func NodeOf(n *standin.Node) settings.Node {
+	return settings.Node{Name: n.Name, Address: n.Addr(), Slice: n.Group().Name, Hall: n.Hall}
+}
--- /dev/null
+++ b/server/follow_test.go
@@ -0,0 +1,163 @@
+package server_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"umberladder/lab"
+	"umberladder/server"
+)
+
+// control asks a driver's control socket.
+func control(t *testing.T, socket, method, path string) (st server.Status) {
+	t.Helper()
+	transport := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "unix", socket)
+	}}
+	defer transport.CloseIdleConnections()
+	req, _ := http.NewRequestWithContext(t.Context(), method, "http://driver"+path, nil)
+	for try := 0; ; try++ {
+		res, err := (&http.Client{Transport: transport}).Do(req)
+		if err == nil {
+			defer res.Body.Close()
+			if err := json.NewDecoder(res.Body).Decode(&st); err != nil {
+				t.Fatal(err)
+			}
+			return st
+		}
+		if try == 100 {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func until(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for try := 0; !done(); try++ {
+		if try == 500 {
+			t.Fatalf("never: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestFollowsAFile: a shorter list is held back until it is confirmed; a bad file changes nothing and is said;
+// a start with a broken file takes the last good one; without one there is no start.
+func TestFollowsAFile(t *testing.T) {
+	dir := t.TempDir()
+	socket := filepath.Join(dir, "control")
+	path := filepath.Join(dir, "nodes.yaml")
+	f := newFleet(t, lab.Spec{Members: 4, Dir: dir, Extra: "state control " + socket + "\n"})
+	must(t, f, writeReq("a", "one"))
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var short strings.Builder
+	short.WriteString("nodes:\n")
+	for _, n := range f.Groups[0].Nodes()[:2] {
+		host, port, _ := net.SplitHostPort(n.Addr())
+		fmt.Fprintf(&short, "  - {name: %s, host: %s, port: %s, slice: %s, hall: %s}\n", n.Name, host, port, f.Groups[0].Name, n.Hall)
+	}
+	write(t, path, short.String(), 0o600)
+	until(t, "two nodes are held", func() bool { return len(control(t, socket, "GET", "/inventory").Held) == 2 })
+	if st := control(t, socket, "GET", "/inventory"); st.Members != 4 {
+		t.Errorf("%d nodes in force", st.Members)
+	}
+	if st := control(t, socket, "POST", "/inventory/confirm"); st.Members != 2 || len(st.Held) != 0 {
+		t.Errorf("after the confirmation: %+v", st)
+	}
+	must(t, f, readReq("stats", "a", ""))
+	write(t, path, "nodes: [", 0o600)
+	until(t, "the file is said to be bad", func() bool { return control(t, socket, "GET", "/inventory").Bad != "" })
+	if st := control(t, socket, "GET", "/inventory"); st.Members != 2 || st.BadSince == nil || !strings.Contains(st.Bad, path+":1") {
+		t.Errorf("with a bad file: %+v", st)
+	}
+	must(t, f, readReq("stats", "a", ""))
+	if err := f.Drivers[0].Kill(); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Start(f.Drivers[0]); err != nil {
+		t.Fatalf("a start with the last good inventory: %v", err)
+	}
+	must(t, f, readReq("stats", "a", ""))
+	s, err := f.Settings(f.Drivers[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.StateDir, s.Control = t.TempDir(), ""
+	if _, err := server.New(s, zap.NewNop(), 1); err == nil || !strings.Contains(err.Error(), "no inventory to start with") {
+		t.Errorf("a start without any inventory: %v", err)
+	}
+	write(t, path, string(text), 0o600)
+	until(t, "the file is good again", func() bool { return control(t, socket, "GET", "/inventory").Bad == "" })
+}
+
+// TestSwappedFile: the file is swapped a thousand times under load and no request is lost.
+func TestSwappedFile(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "nodes.yaml")
+	f := newFleet(t, lab.Spec{Dir: dir})
+	must(t, f, writeReq("a", "one"))
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 1000 {
+			write(t, path+".new", string(text), 0o600)
+			os.Rename(path+".new", path)
+		}
+	}()
+	for n := 0; ; n++ {
+		select {
+		case <-done:
+			if n == 0 {
+				t.Error("nothing was served meanwhile")
+			}
+			return
+		default:
+			must(t, f, readReq("desk-check", "a", ""))
+		}
+	}
+}
+
+// BenchmarkNotice measures the time from a change on disk to the first new connection that follows from it.
+//
+//	go test ./server -run '^$' -bench Notice -benchtime 5x
+func BenchmarkNotice(b *testing.B) {
+	dir := b.TempDir()
+	f, err := lab.NewFleet(lab.Spec{Slices: 1, Members: 3, Drivers: 1, Node: lab.SmallNode, Dir: dir})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer f.Close()
+	g := f.Groups[0]
+	for i := range b.N {
+		time.Sleep(300 * time.Millisecond)
+		n, err := g.AddNode(fmt.Sprintf("new%d", i), "reykjavik-a", lab.SmallNode)
+		if err != nil {
+			b.Fatal(err)
+		}
+		before := f.Trace.Opened()
+		b.StartTimer()
+		f.Add(lab.NodeOf(n))
+		for f.Trace.Opened() == before {
+			time.Sleep(time.Millisecond)
+		}
+		b.StopTimer()
+	}
+}
