--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -18,6 +18,11 @@
 	check(t, func() (*Report, error) { return BadDay(11) })
 }
 
+// TestInventory plays one day of an inventory at odd hours.
+func TestInventory(t *testing.T) {
+	check(t, func() (*Report, error) { return Inventory(12) })
+}
+
 func TestDemo(t *testing.T) {
 	var out bytes.Buffer
 	check(t, func() (*Report, error) { return Demo(&out) })
