Ansible groups: depth and ancestry in one pass over the groups

Cause: both were walked anew over every way through the groups, which grows without bound where groups share parents. Change: each group is settled once.

--- a/inventory/ansible.go
+++ b/inventory/ansible.go
@@ -73,7 +73,7 @@
 	}
 	g := a.group(p.key.Value)
 	if parent != nil && !slices.Contains(g.parents, parent) {
-		if parent == g || g.above(parent, 0) {
+		if g.above(parent, map[*ansibleGroup]bool{}) {
 			a.problem(a.at(p.key), "group %q is within itself", g.name)
 			return
 		}
@@ -103,11 +103,12 @@
 }
 
 // above tells whether g is the other, or among its ancestors.
-func (g *ansibleGroup) above(other *ansibleGroup, depth int) bool {
+func (g *ansibleGroup) above(other *ansibleGroup, seen map[*ansibleGroup]bool) bool {
 	if g == other {
 		return true
 	}
-	return depth < maxDepth && slices.ContainsFunc(other.parents, func(p *ansibleGroup) bool { return g.above(p, depth+1) })
+	seen[other] = true
+	return slices.ContainsFunc(other.parents, func(p *ansibleGroup) bool { return !seen[p] && g.above(p, seen) })
 }
 
 // mapping is what stands under hosts or children: a mapping, or nothing.
@@ -170,20 +171,22 @@
 	}
 }
 
-// depths settles how far each group is from all, by its longest way.
+// depths settles how far each group is from all, by its longest way. No group is within itself.
 func (a *ansible) depths() {
-	var depth func(g *ansibleGroup, hops int) int
-	depth = func(g *ansibleGroup, hops int) int {
-		d := 0
+	known := map[*ansibleGroup]bool{}
+	var settle func(g *ansibleGroup)
+	settle = func(g *ansibleGroup) {
+		if known[g] {
+			return
+		}
+		known[g] = true
 		for _, p := range g.parents {
-			if hops < maxDepth {
-				d = max(d, 1+depth(p, hops+1))
-			}
+			settle(p)
+			g.depth = max(g.depth, p.depth+1)
 		}
-		return d
 	}
 	for _, g := range a.groups {
-		g.depth = depth(g, 0)
+		settle(g)
 	}
 }
 
