Tokens are vectors, signed with rotating keys; lost and future ones are answered as such

Cause: a session's tokens pass through services that merge, cut and swap them, and a write lost in a failover left its reader waiting.

--- a/cmd/umberladder/query.go
+++ b/cmd/umberladder/query.go
@@ -177,7 +177,8 @@
 
 func tokenCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "token", Short: "Look at causal tokens"}
-	cmd.AddCommand(&cobra.Command{
+	var slices []string
+	show := &cobra.Command{
 		Use:   "show TOKEN",
 		Short: "Print the place in the log of each slice that a token names",
 		Args:  cobra.ExactArgs(1),
@@ -186,12 +187,24 @@
 			if err != nil {
 				return err
 			}
-			for _, s := range t.Slices() {
-				at, _ := t.At(s)
-				fmt.Fprintf(cmd.OutOrStdout(), "%s %v\n", s, at)
+			names := map[token.SliceID]string{}
+			for _, s := range slices {
+				names[token.IDOf(s)] = s
+			}
+			for _, id := range t.Slices() {
+				name := names[id]
+				if name == "" {
+					name = fmt.Sprintf("#%010x", uint64(id))
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "%s %v\n", name, t.Place(id))
+			}
+			if t.AsksForPresent() {
+				fmt.Fprintln(cmd.OutOrStdout(), "other slices: present")
 			}
 			return nil
 		},
-	})
+	}
+	show.Flags().StringSliceVar(&slices, "slice", nil, "names of slices, to show them in place of their numbers")
+	cmd.AddCommand(show)
 	return cmd
 }
--- a/driver/conns.go
+++ b/driver/conns.go
@@ -22,6 +22,7 @@
 	prober *conn  // the connection that polls go over
 	polled bool   // the module awaits the end of a poll
 	polls  uint64 // how many were asked for
+	facts  Facts  // that it told last
 }
 
 // connState is the life of a connection.
@@ -390,6 +391,10 @@
 	e.facts(&ev, q, a.node, r.Facts, sentAt)
 	if v.Answers && r.Err == nil && q.class.Need != balance.NeedWrite && !e.fits(q, r.Facts, sentAt) {
 		ev.Outcome, v.Answers = balance.OutcomeMiss, false
+		if cause := q.hopeless(r.Facts); cause != CauseNone {
+			e.tell(balance.Event{Kind: balance.EventAborted, Request: q.id})
+			e.answer(q, Answer{Status: Refused, Cause: cause})
+		}
 	}
 	switch {
 	case q.done:
@@ -419,7 +424,7 @@
 	if q.need.LSN != position.Unknown || r.Facts.Replica {
 		at = at.Max(q.need) // else the primary's present covers what was unknown
 	}
-	return Answer{Status: Served, Token: q.ask.Token.With(q.ask.Slice, at), Node: a.node.listed.Name,
+	return Answer{Status: Served, Token: e.trimmed(q.ask.Token, q.slice).With(q.ask.Slice, at), Node: a.node.listed.Name,
 		Hall: a.node.listed.Hall, Facts: r.Facts, Payload: r.Payload, Attempts: len(q.attempts)}
 }
 
--- a/driver/engine.go
+++ b/driver/engine.go
@@ -9,6 +9,7 @@
 
 	"umberladder/balance"
 	"umberladder/position"
+	"umberladder/token"
 )
 
 // Config is what an engine is told at its start. Times are durations; zero values are errors where a time is
@@ -23,6 +24,7 @@
 	Linger         time.Duration // how long a connection may go on with what nobody awaits
 	PollTimeout    time.Duration
 	ClockAge       time.Duration // a poll of a replica asks the primary too if it was not heard for so long
+	Tokenless      []Tokenless   // by class, what becomes of a session read without its token
 	AnswerMargin   time.Duration // the module's deadline lies so long before the client's
 	CancelWork     bool          // safe work that nobody awaits is ended at the node
 }
@@ -41,6 +43,16 @@
 	return nil
 }
 
+// Tokenless is what becomes of a session read whose token is not there.
+type Tokenless uint8
+
+// The ways to treat it.
+const (
+	TokenlessAccept  Tokenless = iota // as of a session that wrote nothing
+	TokenlessPrimary                  // it asks for the present
+	TokenlessRefuse
+)
+
 // Engine is one driver's state. It is not safe for concurrent use.
 type Engine struct {
 	cfg      Config
@@ -226,9 +238,9 @@
 		return
 	}
 	q := &request{id: ev.Request, ask: ev.Ask, class: &e.cfg.Router.Classes[ev.Ask.Class], slice: e.slices[ev.Ask.Slice]}
-	q.need, _ = q.ask.Token.At(q.ask.Slice)
-	if e.cfg.DriverSessions && q.ask.Session != "" {
-		q.need = q.need.Max(e.sessions.needs(q.ask.Slice, q.ask.Session))
+	if cause := e.needs(q); cause != CauseNone {
+		e.cmds = append(e.cmds, Command{Kind: CommandAnswer, Request: ev.Request, Answer: Answer{Status: Refused, Cause: cause}})
+		return
 	}
 	e.requests[q.id] = q
 	e.held++
@@ -243,6 +255,95 @@
 		Key: xxhash.Sum64String(q.ask.Session), Deadline: q.ask.Deadline - e.cfg.AnswerMargin, SinceWrite: since})
 }
 
+// needs settles what a read must see, and why a request can't be taken if its token stands in the way.
+func (e *Engine) needs(q *request) Cause {
+	if e.foreign(q.ask.Token) {
+		return CauseForeign
+	}
+	need, told := q.ask.Token.At(q.ask.Slice)
+	if e.cfg.DriverSessions && q.ask.Session != "" {
+		at := e.sessions.needs(q.ask.Slice, q.ask.Session)
+		need, told = need.Max(at), told || !at.IsZero()
+	}
+	if q.class.Need == balance.NeedSession && (!told || q.ask.Lost) {
+		switch policy := e.tokenless(q.ask.Class); {
+		case policy == TokenlessRefuse:
+			return CauseTokenless
+		case policy == TokenlessPrimary || q.ask.Lost:
+			need = position.Present
+		}
+	}
+	if q.class.Need != balance.NeedWrite && q.slice.clock.Lost(need) {
+		return CauseTokenLost
+	}
+	q.need = need
+	return CauseNone
+}
+
+func (e *Engine) tokenless(class int) Tokenless {
+	if class < len(e.cfg.Tokenless) {
+		return e.cfg.Tokenless[class]
+	}
+	return TokenlessAccept
+}
+
+// foreign tells whether a token names slices, and none of this driver's.
+func (e *Engine) foreign(t token.Token) bool {
+	if len(t.Slices()) == 0 {
+		return false
+	}
+	for name := range e.slices {
+		if !t.Place(token.IDOf(name)).IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+// hopeless tells why a read can never be served, by what the slice's primary told after the request came: its
+// token is ahead of the whole history, or stands for what a promotion left out.
+func (q *request) hopeless(f Facts) Cause {
+	switch {
+	case q.done || !f.Known || f.Replica || q.need.LSN == position.Unknown || q.slice.superseded(f):
+		return CauseNone
+	case q.slice.clock.Lost(q.need):
+		return CauseTokenLost
+	case f.Position.Timeline == q.need.Timeline && f.Position.LSN < q.need.LSN:
+		return CauseTokenAhead
+	}
+	return CauseNone
+}
+
+// longPassed is how long ago a place must have been committed to be dropped from tokens.
+const longPassed = time.Minute
+
+// trimmed is a token without the places of other slices that every member there has long passed.
+func (e *Engine) trimmed(t token.Token, except *slice) token.Token {
+	if len(t.Slices()) < 2 {
+		return t
+	}
+	for name, s := range e.slices {
+		at, named := t.At(name)
+		if s == except || !named || at.LSN == position.Unknown || at.Timeline != s.clock.Timeline() {
+			continue
+		}
+		if by, ok := s.clock.CommittedBy(at); ok && e.now-by > longPassed && e.allPassed(s, at) {
+			t = t.With(name, position.Position{})
+		}
+	}
+	return t
+}
+
+// allPassed tells whether every member of a slice that isn't gone was heard at or beyond a place.
+func (e *Engine) allPassed(s *slice, at position.Position) bool {
+	for _, n := range e.nodes {
+		if n.slice == s && n.listed.Life != balance.LifeGone && (!n.facts.Known || !covers(n.facts, at)) {
+			return false
+		}
+	}
+	return true
+}
+
 // refuses tells why a request is not taken at all, CauseNone if it is.
 func (e *Engine) refuses(a *Ask) Cause {
 	switch {
--- a/driver/event.go
+++ b/driver/event.go
@@ -40,6 +40,8 @@
 	Known    bool
 	Replica  bool // in recovery
 	Position position.Position
+	// Forks are where older timelines were left: of each one the last place that its successor kept.
+	Forks []position.Position
 }
 
 // End is how an exchange on a connection ended.
@@ -84,6 +86,7 @@
 	Slice    string
 	Session  string
 	Token    token.Token
+	Lost     bool          // a token was there and was lost on the way
 	Deadline time.Duration // clock time at which the client gives up
 }
 
@@ -138,21 +141,28 @@
 
 // The causes.
 const (
-	CauseNone      Cause = iota
-	CauseNoNode          // no db node could take it in its time
-	CauseUncertain       // an attempt went out and what became of it is not known
-	CauseCut             // its streamed answer broke off
-	CauseStopping        // the driver is stopping
-	CauseClass           // its class is not configured
-	CauseSlice           // its slice is not in the list
-	CauseMaxOpen         // the driver holds as many as it may
+	CauseNone       Cause = iota
+	CauseNoNode           // no db node could take it in its time
+	CauseUncertain        // an attempt went out and what became of it is not known
+	CauseCut              // its streamed answer broke off
+	CauseStopping         // the driver is stopping
+	CauseClass            // its class is not configured
+	CauseSlice            // its slice is not in the list
+	CauseMaxOpen          // the driver holds as many as it may
+	CauseForeign          // its token names no slice of this driver's
+	CauseTokenless        // its class wants a token and there is none
+	CauseTokenLost        // what its token stands for was lost in a promotion
+	CauseTokenAhead       // its token is ahead of the slice's primary
 )
 
 // String says it in words.
 func (c Cause) String() string {
 	return [...]string{"", "no db node could take it in time", "an attempt went out and what became of it is not known",
 		"the answer broke off on its way", "this driver is stopping", "its class is not configured",
-		"its slice is not in the list", "this driver holds as many requests as it may"}[c]
+		"its slice is not in the list", "this driver holds as many requests as it may",
+		"its token names no slice that this driver knows", "its class wants a token and none came, or one was lost on the way",
+		"the write that its token stands for was lost in a failover; read again without it",
+		"its token is ahead of the primary: it is not of this slice's history"}[c]
 }
 
 // Answer is a final answer, or, with CommandOpen, how a streamed one begins.
--- a/driver/facts.go
+++ b/driver/facts.go
@@ -93,6 +93,10 @@
 // learn takes note of what a node told of itself.
 func (e *Engine) learn(n *node, f Facts, sentAt time.Duration) {
 	s := n.slice
+	n.facts = f
+	for _, at := range f.Forks {
+		s.clock.Forked(at)
+	}
 	if f.Replica {
 		s.clock.Seen(f.Position.Timeline)
 		if s.primary == n {
@@ -177,6 +181,8 @@
 	switch {
 	case need.IsZero():
 		return true
+	case need == position.Present:
+		return !f.Replica
 	case f.Position.Timeline < need.Timeline:
 		return false
 	case need.LSN == position.Unknown:
--- a/position/position.go
+++ b/position/position.go
@@ -25,6 +25,9 @@
 // others of its timeline, so that it asks for the present.
 const Unknown = math.MaxUint64
 
+// Present is a place that asks for the present of a slice, whatever its timeline is by then.
+var Present = Position{Timeline: math.MaxUint32, LSN: Unknown}
+
 // Position is a place in the log of a slice: the timeline and the byte on it (PostgreSQL's LSN).
 // The zero Position is "none".
 type Position struct {
@@ -62,6 +65,9 @@
 
 // String writes PostgreSQL's form with the timeline in front: 2:16/B374D848.
 func (p Position) String() string {
+	if p == Present {
+		return "present"
+	}
 	if p.LSN == Unknown {
 		return fmt.Sprintf("%d:unknown", p.Timeline)
 	}
@@ -92,10 +98,11 @@
 // concurrent use. Times are on the driver's own steady clock.
 type Clock struct {
 	timeline uint32
-	known    bool          // the primary of the timeline was heard
-	first    time.Duration // when it was first heard
-	lower    []point       // by LSN; at is when an answer with it was sent, rising
-	upper    []point       // by LSN; at is when an answer with it was heard, rising
+	known    bool              // the primary of the timeline was heard
+	first    time.Duration     // when it was first heard
+	forks    map[uint32]uint64 // by timeline, the last LSN that its successor kept
+	lower    []point           // by LSN; at is when an answer with it was sent, rising
+	upper    []point           // by LSN; at is when an answer with it was heard, rising
 }
 
 // Timeline is the highest timeline seen so far, 0 before any.
@@ -104,8 +111,32 @@
 // Seen takes note that somebody is on a timeline: whatever claims to be primary of an older one is superseded.
 func (c *Clock) Seen(timeline uint32) {
 	if timeline > c.timeline {
-		*c = Clock{timeline: timeline, lower: c.lower[:0], upper: c.upper[:0]}
+		*c = Clock{timeline: timeline, forks: c.forks, lower: c.lower[:0], upper: c.upper[:0]}
+	}
+}
+
+// Forked takes note of where a timeline was left: the last place that its successor kept.
+func (c *Clock) Forked(at Position) {
+	if c.forks == nil {
+		c.forks = map[uint32]uint64{}
+	}
+	if lsn, known := c.forks[at.Timeline]; !known || at.LSN < lsn {
+		c.forks[at.Timeline] = at.LSN
+	}
+}
+
+// Lost tells whether a place is known not to be part of the present history: a promotion left it out. A place
+// whose timeline's end was not heard is not known to be lost, nor is one that is itself unknown.
+func (c *Clock) Lost(p Position) bool {
+	if p.LSN == Unknown {
+		return false
+	}
+	for t := p.Timeline; t < c.timeline; t++ {
+		if lsn, known := c.forks[t]; known && p.LSN > lsn {
+			return true
+		}
 	}
+	return false
 }
 
 // Primary takes note that the primary's log stood at p at some time between sent and heard. It tells whether
--- a/server/conn.go
+++ b/server/conn.go
@@ -20,6 +20,7 @@
 type login struct {
 	user, password, database string
 	maxMessage               int
+	history                  bool // polls ask where timelines began
 }
 
 // job is one exchange for a connection to carry out.
@@ -132,7 +133,12 @@
 				return nil
 			}
 			prepared = true
-			b = pgwire.AppendSync(pgwire.AppendParse(b, factsName, factsSQL, nil))
+			b = pgwire.AppendParse(b, factsName, factsSQL, nil)
+			ask := factsSQL
+			if l.history {
+				ask = historySQL
+			}
+			b = pgwire.AppendSync(pgwire.AppendParse(b, askName, ask, nil))
 		default:
 			err = fmt.Errorf("message %q while it opened", typ)
 		}
--- a/server/exchange.go
+++ b/server/exchange.go
@@ -13,6 +13,15 @@
 // factsName is the prepared statement that asks a node for its role and position.
 const factsName = "umberladder_facts"
 
+// askName is the one that polls use; it may ask for the history of timelines too.
+const askName = "umberladder_ask"
+
+// historySQL asks for the history of the present timeline beside the facts. It wants pg_read_server_files.
+const historySQL = factsSQL + `, pg_read_file('pg_wal/' || lpad(to_hex(
+ CASE WHEN pg_is_in_recovery()
+  THEN coalesce((SELECT received_tli FROM pg_stat_wal_receiver), (SELECT timeline_id FROM pg_control_checkpoint()))
+  ELSE ('x' || substr(pg_walfile_name(pg_current_wal_lsn()), 1, 8))::bit(32)::int END), 8, '0') || '.history', true)`
+
 // factsSQL asks an unmodified server whether it is in recovery, where it stands in the log and on which
 // timeline. A primary tells its timeline by the name of its present log file; a replica by what it receives,
 // or, while it receives nothing, by its last restart point.
@@ -68,7 +77,11 @@
 	for _, p := range phases[byParams][kind] {
 		switch p {
 		case phaseFacts:
-			b = pgwire.AppendExecute(pgwire.AppendBind(b, "", factsName, nil), "", 0)
+			name := factsName
+			if kind == exchangeAsk {
+				name = askName
+			}
+			b = pgwire.AppendExecute(pgwire.AppendBind(b, "", name, nil), "", 0)
 		case phaseStatement:
 			b = pgwire.AppendParse(b, "", st.sql, st.types)
 			b = pgwire.AppendBind(b, "", "", st.values)
@@ -255,6 +268,15 @@
 
 // parseFacts reads the row that factsSQL brings.
 func parseFacts(row [][]byte) (driver.Facts, error) {
+	if len(row) == 4 {
+		forks, err := parseHistory(string(row[3]))
+		if err != nil {
+			return driver.Facts{}, err
+		}
+		f, err := parseFacts(row[:3])
+		f.Forks = forks
+		return f, err
+	}
 	if len(row) != 3 || row[0] == nil {
 		return driver.Facts{}, fmt.Errorf("facts of %d columns, 3 wanted", len(row))
 	}
@@ -274,6 +296,29 @@
 		Position: position.Position{Timeline: uint32(timeline), LSN: lsn}}, nil
 }
 
+// parseHistory reads a timeline history file: a line for each older timeline with the place at which it was left.
+func parseHistory(text string) (forks []position.Position, err error) {
+	for _, line := range strings.Split(text, "\n") {
+		words := strings.Fields(line)
+		if len(words) == 0 || strings.HasPrefix(words[0], "#") {
+			continue
+		}
+		if len(words) < 2 {
+			return nil, fmt.Errorf("timeline history %q has no place", line)
+		}
+		tl, err := strconv.ParseUint(words[0], 10, 32)
+		if err != nil {
+			return nil, fmt.Errorf("timeline history %q: %w", line, err)
+		}
+		lsn, err := position.ParseLSN(words[1])
+		if err != nil {
+			return nil, fmt.Errorf("timeline history: %w", err)
+		}
+		forks = append(forks, position.Position{Timeline: uint32(tl), LSN: lsn})
+	}
+	return forks, nil
+}
+
 // factsOfParams reads what a node told by parameters; not Known if it did not, or not in their form.
 func factsOfParams(params map[string]string) driver.Facts {
 	timeline, lsn, ok := strings.Cut(params[paramPosition], ":")
--- a/server/server.go
+++ b/server/server.go
@@ -12,6 +12,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -27,6 +28,7 @@
 	"umberladder/driver"
 	pb "umberladder/proto/umberladder/v1"
 	"umberladder/settings"
+	"umberladder/token"
 )
 
 const listFull = balance.ListFull
@@ -46,7 +48,8 @@
 	wall     time.Time // what the engine's clockStart was on the wall
 	kill     context.CancelFunc
 	killed   context.Context
-	follow   *follower // nil where nodes stand in the settings
+	keys     atomic.Pointer[token.Keyring] // nil: tokens are not signed
+	follow   *follower                     // nil where nodes stand in the settings
 
 	mu    sync.Mutex
 	nodes []settings.Node
@@ -63,6 +66,10 @@
 	if err != nil {
 		return nil, err
 	}
+	keys, err := loadKeys(s)
+	if err != nil {
+		return nil, err
+	}
 	follow, nodes, err := newFollower(s, log, seed)
 	if err != nil {
 		return nil, err
@@ -72,9 +79,10 @@
 		return nil, fmt.Errorf("listen grpc: %w", err)
 	}
 	srv := &Server{settings: s, log: log, listener: listener, metrics: newMetrics(), wall: time.Now(), nodes: nodes, follow: follow}
+	srv.keys.Store(keys)
 	srv.killed, srv.kill = context.WithCancel(context.Background())
 	srv.loop = &loop{engine: engine, inbox: newInbox(), log: log, metrics: srv.metrics, start: srv.wall,
-		login: login{user: s.User, password: password, database: s.Database, maxMessage: s.MaxMessage},
+		login: login{user: s.User, password: password, database: s.Database, maxMessage: s.MaxMessage, history: s.TokenHistory},
 		conns: map[driver.ConnID]*conn{}, cancels: s.DialTimeout, stopped: make(chan struct{}), list: srv.list}
 	srv.register()
 	return srv, nil
@@ -83,7 +91,31 @@
 func engineConfig(s *settings.Settings) driver.Config {
 	return driver.Config{Router: s.Router(), Halls: s.Halls, DriverSessions: s.RouterTokens, MaxOpen: s.MaxOpen,
 		PoolSize: s.PoolSize, IdleClose: s.IdleClose, Linger: s.Linger, PollTimeout: s.PollTimeout,
-		ClockAge: s.ClockAge, AnswerMargin: s.AnswerMargin, CancelWork: s.CancelWork}
+		ClockAge: s.ClockAge, AnswerMargin: s.AnswerMargin, CancelWork: s.CancelWork, Tokenless: tokenless(s)}
+}
+
+func tokenless(s *settings.Settings) []driver.Tokenless {
+	all := make([]driver.Tokenless, len(s.Classes))
+	for i, c := range s.Classes {
+		all[i] = driver.Tokenless(c.Tokenless)
+	}
+	return all
+}
+
+func loadKeys(s *settings.Settings) (*token.Keyring, error) {
+	if s.TokenKeys == "" {
+		return nil, nil
+	}
+	return token.LoadKeys(s.TokenKeys)
+}
+
+// ReloadKeys reads the token keys again. On an error the old ones stay.
+func (s *Server) ReloadKeys() error {
+	keys, err := loadKeys(s.settings)
+	if err == nil {
+		s.keys.Store(keys)
+	}
+	return err
 }
 
 // readPassword reads a file that nobody else may read.
@@ -112,7 +144,7 @@
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 15 * time.Minute, Time: time.Minute,
 			Timeout: 10 * time.Second}),
 	)
-	pb.RegisterDriverServer(s.grpc, &service{loop: s.loop, settings: s.settings, metrics: s.metrics})
+	pb.RegisterDriverServer(s.grpc, &service{loop: s.loop, settings: s.settings, metrics: s.metrics, keys: &s.keys})
 	s.health = health.NewServer()
 	healthpb.RegisterHealthServer(s.grpc, s.health)
 	reflection.Register(s.grpc)
--- a/server/service.go
+++ b/server/service.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -23,6 +26,15 @@
 	loop     *loop
 	settings *settings.Settings
 	metrics  *metrics
+	keys     *atomic.Pointer[token.Keyring]
+}
+
+// scope is what tokens are bound to: the session, where the settings say so.
+func (s *service) scope(req *pb.ExecuteRequest) string {
+	if s.settings.TokenScope {
+		return req.Session
+	}
+	return ""
 }
 
 // Execute implements pb.DriverServer.
@@ -46,7 +58,7 @@
 			info(reasonSize, nil))
 	}
 	return &pb.ExecuteResponse{Columns: columnsOf(rep.cols), Rows: rep.rows, CommandTag: rep.done,
-		Token: a.Token.String(), Served: servedOf(&a)}, nil
+		Token: s.keys.Load().Sign(a.Token, s.scope(req)), Validator: validatorOf(req, &a), Served: servedOf(&a)}, nil
 }
 
 // ExecuteStream implements pb.DriverServer.
@@ -80,7 +92,7 @@
 		return sqlStatus(st.fault)
 	}
 	return out.Send(&pb.ExecuteChunk{Part: &pb.ExecuteChunk_End_{End: &pb.ExecuteChunk_End{
-		CommandTag: st.done, Token: a.Token.String(), Rows: rows}}})
+		CommandTag: st.done, Token: s.keys.Load().Sign(a.Token, s.scope(req)), Rows: rows}}})
 }
 
 // await hands a call to the loop and waits for its final answer, passing a streamed one on as it comes. An
@@ -151,7 +163,7 @@
 	}
 	ask := driver.Ask{Class: class, Slice: req.Slice, Session: req.Session}
 	var err error
-	if ask.Token, err = takeToken(req.Token, req.Slice); err != nil {
+	if ask.Token, ask.Lost, err = s.takeToken(req.Token, s.scope(req)); err != nil {
 		return ask, nil, err
 	}
 	c := &call{most: s.settings.MaxResult, final: make(chan driver.Answer, 1)}
@@ -170,17 +182,14 @@
 	return strings.Join(names, ", ")
 }
 
-// takeToken reads the token of a request. One that says nothing of the request's slice is a mistake too: it
-// would be ignored otherwise, and the client would take an old answer for a new one.
-func takeToken(text, slice string) (token.Token, error) {
-	t, err := token.Parse(text)
+// takeToken reads the token of a request, or several that a carrier put together. lost tells that one was lost
+// on the way.
+func (s *service) takeToken(text, scope string) (t token.Token, lost bool, err error) {
+	t, lost, err = s.keys.Load().VerifyAll(text, scope)
 	if err != nil {
-		return t, badRequest("token", "%s", strings.TrimPrefix(err.Error(), "token: "))
-	}
-	if _, ok := t.At(slice); !ok && text != "" {
-		return t, badRequest("token", "it is of slice %s, the request of %q", strings.Join(t.Slices(), ", "), slice)
+		return t, lost, badRequest("token", "%s", strings.TrimPrefix(err.Error(), "token: "))
 	}
-	return t, nil
+	return t, lost, nil
 }
 
 func (s *service) statement(req *pb.ExecuteRequest, class *settings.Class) (statement, error) {
@@ -225,6 +234,19 @@
 	return s.loop.now() + wait, nil
 }
 
+// validatorOf names what an answer was made of: slice, class, statement, parameters and place. Equal validators
+// stand for equal answers as far as the driver can tell; it is safe as an ETag.
+func validatorOf(req *pb.ExecuteRequest, a *driver.Answer) string {
+	h := xxhash.New()
+	fmt.Fprintf(h, "%s\x00%s\x00%s\x00", req.Slice, req.Class, req.Statement)
+	for _, p := range req.Parameters {
+		oid, text, _ := parameter(p)
+		fmt.Fprintf(h, "%d %d %v ", oid, len(text), text == nil)
+		h.Write(text)
+	}
+	return fmt.Sprintf("%016x-%x-%x", h.Sum64(), a.Facts.Position.Timeline, a.Facts.Position.LSN)
+}
+
 func servedOf(a *driver.Answer) *pb.Served {
 	v := &pb.Served{Node: a.Node, Hall: a.Hall, Attempts: uint32(a.Attempts)}
 	if a.Facts.Known {
--- a/server/status.go
+++ b/server/status.go
@@ -24,20 +24,30 @@
 	reasonSize    = "RESULT_TOO_LARGE"
 )
 
+// tokenReasons are the reasons of refusals for which another try with the same token is of no use.
+var tokenReasons = map[driver.Cause]string{driver.CauseTokenless: "TOKEN_MISSING", driver.CauseTokenLost: "TOKEN_LOST",
+	driver.CauseTokenAhead: "TOKEN_AHEAD"}
+
 // statusOf maps a final answer that is no success to a gRPC status. docs/outcomes.md has the table.
 func statusOf(a *driver.Answer) error {
 	switch a.Status {
 	case driver.Refused:
-		code := codes.Unavailable
+		code, reason := codes.Unavailable, reasonRefused
 		switch a.Cause {
 		case driver.CauseMaxOpen:
 			code = codes.ResourceExhausted
 		case driver.CauseSlice:
 			code = codes.NotFound
-		case driver.CauseClass:
+		case driver.CauseClass, driver.CauseForeign:
 			code = codes.InvalidArgument
+		case driver.CauseTokenless, driver.CauseTokenLost, driver.CauseTokenAhead:
+			code, reason = codes.FailedPrecondition, tokenReasons[a.Cause]
+		}
+		details := []protoadapt.MessageV1{info(reason, nil)}
+		if a.Cause == driver.CauseForeign {
+			details = append(details, &errdetails.BadRequest{FieldViolations: []*errdetails.BadRequest_FieldViolation{{
+				Field: "token", Description: a.Cause.String()}}})
 		}
-		details := []protoadapt.MessageV1{info(reasonRefused, nil)}
 		if a.RetryAfter > 0 {
 			details = append(details, &errdetails.RetryInfo{RetryDelay: durationpb.New(a.RetryAfter)})
 		}
--- a/settings/bind.go
+++ b/settings/bind.go
@@ -169,7 +169,7 @@
 	}
 }
 
-var classFields = []string{"effect", "scope", "need", "target", "deadline", "window", "worth", "late-worth"}
+var classFields = []string{"effect", "scope", "need", "target", "deadline", "window", "worth", "late-worth", "without-token"}
 
 func (b *binder) class(d directive) {
 	if len(d.args) != 1 || !d.open {
@@ -209,6 +209,9 @@
 	if c.Effect != balance.Keyed && (seen["window"] || seen["scope"]) {
 		b.problem(name, "class %q: window and scope are for keyed classes", c.Name)
 	}
+	if c.Need != balance.NeedSession && seen["without-token"] {
+		b.problem(name, "class %q: without-token is for classes that need a session", c.Name)
+	}
 	if c.Effect == balance.Safe && c.Need == balance.NeedWrite && seen["need"] {
 		b.problem(name, "class %q: a write that is safe to repeat is 'effect keyed' or 'effect unsafe'", c.Name)
 	}
@@ -243,6 +246,8 @@
 		c.Worth, err = plain(arg.text)
 	case "late-worth":
 		c.LateWorth, err = percent(arg.text)
+	case "without-token":
+		err = pick(&c.Tokenless, arg.text, "accept", "primary", "refuse")
 	}
 	if err != nil {
 		b.problem(arg, "%s: %v", d.name.text, err)
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -101,6 +101,11 @@
 		text("user", "user to be", func(s *Settings) *string { return &s.User }),
 		text("password-file", "file that holds the password, mode 0600", func(s *Settings) *string { return &s.PasswordFile }),
 	}},
+	{"tokens", []field{
+		text("keys", "file with the keys that sign tokens, mode 0600; without it they are not signed", func(s *Settings) *string { return &s.TokenKeys }),
+		flag("bind-session", "a token is believed only with the session that it was given to", func(s *Settings) *bool { return &s.TokenScope }),
+		flag("history", "nodes are asked where timelines began, which tells tokens of lost writes", func(s *Settings) *bool { return &s.TokenHistory }),
+	}},
 	{"stop", []field{
 		period("within", "on SIGTERM, what is held is answered within it", time.Millisecond, time.Hour, func(s *Settings) *time.Duration { return &s.StopWithin }),
 	}},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,8 +32,19 @@
 	Window    time.Duration // how long repeats of a keyed request are discarded
 	Worth     float64
 	LateWorth float64
+	Tokenless Tokenless // what becomes of a session read whose token is not there
 }
 
+// Tokenless is what becomes of a session read that comes without its token.
+type Tokenless uint8
+
+// The ways to treat it.
+const (
+	TokenlessAccept  Tokenless = iota // as a session that wrote nothing
+	TokenlessPrimary                  // it asks for the present
+	TokenlessRefuse                   // the client must present one
+)
+
 // Settings is all that a driver is told by its file. Each field's directive is in the table of fields.go.
 type Settings struct {
 	Halls   []string
@@ -47,6 +58,10 @@
 	Members      membership.Config
 	LeastMembers int // nodes that each slice of the inventory needs
 
+	TokenKeys    string // file of the keys that sign tokens; "" for unsigned ones
+	TokenScope   bool   // a token is believed only with the session that it was given to
+	TokenHistory bool   // nodes are asked where timelines began, which tells tokens of lost writes
+
 	ListenGRPC    string
 	ListenMetrics string
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -68,6 +68,11 @@
     user u
     password-file /run/p
 }
+tokens {
+    keys /tmp/k
+    bind-session on
+    history on
+}
 stop within 3s
 state {
     dir /tmp/x
@@ -96,6 +101,7 @@
     deadline 1s
     worth 2
     late-worth 25%
+    without-token refuse
 }
 class read {
     effect safe
--- a/settings/show.go
+++ b/settings/show.go
@@ -67,6 +67,9 @@
 	if c.Need == balance.NeedBounded {
 		fmt.Fprintf(b, " %s", showPeriod(c.Bound))
 	}
+	if c.Tokenless != TokenlessAccept {
+		fmt.Fprintf(b, "\n    without-token %s", [...]string{"accept", "primary", "refuse"}[c.Tokenless])
+	}
 	fmt.Fprintf(b, "\n    target %s\n    deadline %s\n    worth %g\n    late-worth %g%%\n}\n",
 		showPeriod(c.Target), showPeriod(c.Deadline), c.Worth, c.LateWorth*100)
 }
--- a/standin/log.go
+++ b/standin/log.go
@@ -5,7 +5,9 @@
 package standin
 
 import (
+	"fmt"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -135,6 +137,18 @@
 	return p.Timeline <= timeline
 }
 
+// history is a timeline's history file: where each older one was left.
+func (n *Node) history(timeline uint32) string {
+	n.group.mu.Lock()
+	defer n.group.mu.Unlock()
+	var b strings.Builder
+	for t := uint32(1); t < timeline && int(t) < len(n.group.forks); t++ {
+		_, lsn, _ := strings.Cut(n.group.forks[t].String(), ":")
+		fmt.Fprintf(&b, "%d\t%s\tno recovery target specified\n", t, lsn)
+	}
+	return b.String()
+}
+
 // Promote makes a member the primary of a new timeline. The others that run follow it, giving up what they
 // have beyond its place. A former primary that still runs goes on believing in itself until it starts again.
 func (g *Group) Promote(n *Node) {
--- a/standin/sql.go
+++ b/standin/sql.go
@@ -120,7 +120,7 @@
 	}
 	switch f.kind {
 	case KindFacts:
-		return s.runFacts(p)
+		return s.runFacts(p, strings.Contains(p.sql, "pg_read_file"))
 	case KindRead:
 		return s.runRead(f, p, st)
 	case KindWrite:
@@ -141,15 +141,18 @@
 
 func (s *session) note(st *Statement, how func(*Statement)) { s.node.group.trace.change(st, how) }
 
-func (s *session) runFacts(p portal) error {
+func (s *session) runFacts(p portal, history bool) error {
 	f := s.node.facts()
 	replica := "f"
 	if f.replica {
 		replica = "t"
 	}
 	_, lsn, _ := strings.Cut(f.at.String(), ":")
-	s.row(p, []pgwire.Column{{Type: pgwire.OIDText}, {Type: pgwire.OIDText}, {Type: pgwire.OIDText}},
-		replica, lsn, strconv.FormatUint(uint64(f.at.Timeline), 10))
+	values := []string{replica, lsn, strconv.FormatUint(uint64(f.at.Timeline), 10)}
+	if history {
+		values = append(values, s.node.history(f.at.Timeline))
+	}
+	s.row(p, make([]pgwire.Column, len(values)), values...)
 	s.out = pgwire.AppendCommandComplete(s.out, "SELECT 1")
 	return nil
 }
