--- /dev/null
+++ b/carry/carry_test.go
@@ -0,0 +1,153 @@
+package carry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/metadata"
+
+	"umberladder/position"
+	"umberladder/token"
+)
+
+func tok(slice string, lsn uint64) string {
+	return token.Token{}.With(slice, position.Position{Timeline: 1, LSN: lsn}).String()
+}
+
+// TestHTTPChain: browser, front and back; the back's token reaches the browser, the browser's the back, and the
+// back sees what the front saw elsewhere.
+func TestHTTPChain(t *testing.T) {
+	var seen token.Bag
+	back := httptest.NewServer(Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen = FromContext(r.Context()).Bag()
+		FromContext(r.Context()).Add(tok("comments", 7))
+		io.WriteString(w, "ok")
+	}), false))
+	defer back.Close()
+	client := &http.Client{Transport: &Transport{}}
+	front := httptest.NewServer(Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		FromContext(r.Context()).Add(tok("pages", 2))
+		req, _ := http.NewRequestWithContext(r.Context(), "GET", back.URL, nil)
+		req.Header.Set("Baggage", "trace=1")
+		res, err := client.Do(req)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		res.Body.Close()
+	}), true))
+	defer front.Close()
+	for name, put := range map[string]func(r *http.Request){
+		"header":  func(r *http.Request) { r.Header.Set(Header, tok("news", 3)) },
+		"cookie":  func(r *http.Request) { r.AddCookie(&http.Cookie{Name: Cookie, Value: tok("news", 3)}) },
+		"baggage": func(r *http.Request) { r.Header.Set("Baggage", "a=b, "+BaggageKey+"="+tok("news", 3)+";p=1") },
+	} {
+		req, _ := http.NewRequest("GET", front.URL, nil)
+		put(req)
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		want := token.ParseBag(tok("news", 3), tok("pages", 2))
+		if seen.String() != want.String() {
+			t.Errorf("%s: the back saw %v, want %v", name, seen, want)
+		}
+		want = want.Add(tok("comments", 7))
+		if got := res.Header.Get(Header); got != want.String() {
+			t.Errorf("%s: the browser got %q", name, got)
+		}
+		if c := res.Cookies(); len(c) != 1 || c[0].Value != want.String() {
+			t.Errorf("%s: cookies %v", name, c)
+		}
+	}
+}
+
+// TestSpoiltCarriage: duplicates, lists, over-long and malformed values; what was a token is never nothing.
+func TestSpoiltCarriage(t *testing.T) {
+	long := strings.Repeat(tok("news", 3)+".", 6000)
+	for name, c := range map[string]struct {
+		set   func(r *http.Request)
+		lost  bool
+		texts int
+	}{
+		"nothing":               {func(*http.Request) {}, false, 0},
+		"twice the same":        {func(r *http.Request) { r.Header.Add(Header, tok("a", 1)); r.Header.Add(Header, tok("a", 1)) }, false, 1},
+		"a list":                {func(r *http.Request) { r.Header.Set(Header, tok("a", 1)+", "+tok("b", 1)) }, false, 2},
+		"malformed":             {func(r *http.Request) { r.Header.Set(Header, "%%%") }, true, 1},
+		"cookie cut by a proxy": {func(r *http.Request) { r.AddCookie(&http.Cookie{Name: Cookie, Value: tok("a", 1)[:7]}) }, true, 1},
+		"baggage spoilt":        {func(r *http.Request) { r.Header.Set("Baggage", BaggageKey+"=%zz") }, true, 1},
+		"over-long":             {func(r *http.Request) { r.Header.Set(Header, long) }, true, 1},
+	} {
+		r := httptest.NewRequest("GET", "/", nil)
+		c.set(r)
+		_, col := NewContext(r.Context(), fromRequest(r)...)
+		if _, whole := col.Bag().Peek(); whole == c.lost || len(col.Bag().Texts()) != c.texts {
+			t.Errorf("%s: %q, whole %v", name, col.Bag(), whole)
+		}
+	}
+}
+
+// health is a service whose every check sees a token.
+type health struct {
+	grpc_health_v1.UnimplementedHealthServer
+	heard string
+	adds  string
+}
+
+func (h *health) Check(ctx context.Context, _ *grpc_health_v1.HealthCheckRequest) (*grpc_health_v1.HealthCheckResponse, error) {
+	h.heard = FromContext(ctx).Bag().String()
+	FromContext(ctx).Add(h.adds)
+	return &grpc_health_v1.HealthCheckResponse{}, nil
+}
+
+func (h *health) Watch(_ *grpc_health_v1.HealthCheckRequest, s grpc_health_v1.Health_WatchServer) error {
+	FromContext(s.Context()).Add(h.adds)
+	return s.Send(&grpc_health_v1.HealthCheckResponse{})
+}
+
+func TestGRPC(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &health{adds: tok("comments", 4)}
+	gs := grpc.NewServer(grpc.ChainUnaryInterceptor(UnaryServer()), grpc.ChainStreamInterceptor(StreamServer()))
+	grpc_health_v1.RegisterHealthServer(gs, h)
+	go gs.Serve(l)
+	defer gs.Stop()
+	conn, err := grpc.NewClient("passthrough:///"+l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithUnaryInterceptor(UnaryClient()), grpc.WithStreamInterceptor(StreamClient()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	client := grpc_health_v1.NewHealthClient(conn)
+	ctx, c := NewContext(metadata.AppendToOutgoingContext(t.Context(), "other", "kept"), tok("news", 3))
+	if _, err := client.Check(ctx, &grpc_health_v1.HealthCheckRequest{}); err != nil {
+		t.Fatal(err)
+	}
+	want := token.ParseBag(tok("news", 3), tok("comments", 4)).String()
+	if h.heard != tok("news", 3) || c.Bag().String() != want {
+		t.Errorf("heard %q, collected %q", h.heard, c.Bag())
+	}
+	h.adds = tok("pages", 9)
+	s, err := client.Watch(ctx, &grpc_health_v1.HealthCheckRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for err == nil {
+		_, err = s.Recv()
+	}
+	if !strings.Contains(c.Bag().String(), tok("pages", 9)) {
+		t.Errorf("the stream's token is not among %q", c.Bag())
+	}
+}
--- a/cmd/umberladder/lab.go
+++ b/cmd/umberladder/lab.go
@@ -12,6 +12,7 @@
 	cmd := &cobra.Command{Use: "lab", Short: "Play failures on loopback and judge the five rules by the traffic"}
 	cmd.AddCommand(labRun("badday", "Overlapping troubles against several drivers, about ten seconds", lab.BadDay))
 	cmd.AddCommand(labRun("inventory", "Drivers follow a file that is edited, cut, swapped and spoilt under load", lab.Inventory))
+	cmd.AddCommand(labRun("chain", "Sessions through services and caches that lose and mix up tokens", lab.Chain))
 	var seed uint64
 	replay := &cobra.Command{
 		Use:   "replay DAY.json",
--- a/standin/node.go
+++ b/standin/node.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"umberladder/position"
 )
 
 // Config is how a node behaves when nothing is wrong.
@@ -351,3 +353,10 @@
 	case <-ctx.Done():
 	}
 }
+
+// Stands is where the node stands in the log.
+func (n *Node) Stands() position.Position {
+	n.group.mu.Lock()
+	defer n.group.mu.Unlock()
+	return n.branch.at(n.applied)
+}
--- a/token/bag.go
+++ b/token/bag.go
@@ -92,6 +92,22 @@
 	return rest.Add(answer)
 }
 
+// Absorb is the union with a bag from further up, without the texts of b that it covers. Who answers a call is
+// trusted not to claim more than it has; a text that it covers asks for nothing more, whoever made it.
+func (b Bag) Absorb(from Bag) Bag {
+	have, whole := from.Peek()
+	if !whole {
+		return b.Join(from)
+	}
+	rest := Bag{}
+	for _, text := range b.texts {
+		if one, err := Parse(text); text == Unknown || err != nil || !have.Covers(one) {
+			rest = rest.Add(text)
+		}
+	}
+	return rest.Join(from)
+}
+
 // IsEmpty tells whether there is no text.
 func (b Bag) IsEmpty() bool { return len(b.texts) == 0 }
 
