--- a/driver/engine.go
+++ b/driver/engine.go
@@ -16,10 +16,13 @@
 // needed.
 type Config struct {
 	Router         balance.Config
-	Halls          []string // the place of a hall's name is the module's zone
-	DriverSessions bool     // sessions are followed by this driver's own answers, beside tokens
-	MaxOpen        int      // requests held at once
-	PoolSize       int      // connections to one node
+	Halls          []string      // the place of a hall's name is the module's zone
+	DriverSessions bool          // sessions are followed by this driver's own answers, beside tokens
+	SessionBytes   int           // memory for them
+	Sessions       *SessionState // what an earlier life of this driver knew of them, nil for nothing
+	SessionsWhole  bool          // that holds all that the earlier life answered, or there was none
+	MaxOpen        int           // requests held at once
+	PoolSize       int           // connections to one node
 	IdleClose      time.Duration
 	Linger         time.Duration // how long a connection may go on with what nobody awaits
 	PollTimeout    time.Duration
@@ -69,7 +72,7 @@
 	byKey    map[nodeKey]*node
 	conns    map[ConnID]*conn
 	slices   map[string]*slice
-	sessions sessions
+	sessions *sessions
 	lastConn ConnID
 	until    time.Duration // when what is held must be answered; 0 while not stopping
 	stopped  bool
@@ -108,8 +111,16 @@
 	}
 	e := &Engine{cfg: cfg, router: router, twins: twins, requests: map[RequestID]*request{}, nodes: map[balance.ServerID]*node{},
 		byKey: map[nodeKey]*node{}, conns: map[ConnID]*conn{}, slices: map[string]*slice{}}
-	e.sessions.place = func(name string, by time.Duration) (position.Position, bool) {
-		return e.slices[name].clock.After(by)
+	e.sessions = newSessions(cfg.SessionBytes)
+	e.sessions.lift = func(name string, since time.Duration) (position.Position, bool) {
+		s := e.slices[name]
+		if s == nil {
+			return position.Position{}, false
+		}
+		return s.clock.After(since)
+	}
+	e.sessions.passed = func(name string, at position.Position) bool {
+		return e.slices[name] != nil && e.allPassed(e.slices[name], at)
 	}
 	return e, nil
 }
@@ -144,6 +155,10 @@
 // clock must not go back; an earlier time counts as the latest seen. The zero time should lie in the past by
 // more than any time in the configuration.
 func (e *Engine) Step(now time.Duration, events []Event, cmds []Command) []Command {
+	if e.now == 0 {
+		e.sessions.restore(e.cfg.Sessions, e.cfg.SessionsWhole, now)
+		e.cfg.Sessions = nil
+	}
 	e.now, e.cmds = max(now, e.now), cmds
 	e.timers.run(e.now)
 	for i := range events {
--- a/driver/engine_test.go
+++ b/driver/engine_test.go
@@ -1,9 +1,11 @@
 package driver
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"umberladder/balance"
 	"umberladder/position"
 	"umberladder/token"
 )
@@ -373,7 +375,7 @@
 // TestDriverSessions: without tokens, a session's read sees what the session wrote through this driver.
 func TestDriverSessions(t *testing.T) {
 	cfg := testConfig()
-	cfg.DriverSessions = true
+	cfg.DriverSessions, cfg.SessionBytes, cfg.SessionsWhole = true, 1<<20, true
 	r := newRig(t, cfg, fleetFacts())
 	w := r.ask(classWrite, token.Token{})
 	r.nodes["p"].facts = primary(at(1, 1100))
@@ -386,20 +388,153 @@
 	r.quiet()
 }
 
-func TestSessionsAreForgottenSafely(t *testing.T) {
-	var s sessions
-	s.place = func(string, time.Duration) (position.Position, bool) { return position.Position{}, false }
-	s.wrote("news", "old", at(1, 500), 0)
-	s.wrote("news", "new", at(1, 900), sessionKeep+time.Second)
-	s.wrote("news", "new", at(1, 910), sessionKeep+2*time.Second)
-	if _, known := s.known[sessionKey{"news", "old"}]; known {
-		t.Error("the old session is still kept")
+func freeSessions(most int) *sessions {
+	s := newSessions(most)
+	s.lift = func(string, time.Duration) (position.Position, bool) { return position.Position{}, false }
+	s.passed = func(string, position.Position) bool { return false }
+	return s
+}
+
+// TestSessionTableIsBounded: a hundred thousand sessions through a table for ten thousand. None of the
+// forgotten ones may need less than it wrote.
+func TestSessionTableIsBounded(t *testing.T) {
+	const sessions, room = 100000, 10000
+	s := freeSessions(room * (sessionCost + len("news") + len("s00000")))
+	for i := range sessions {
+		s.wrote("news", fmt.Sprintf("s%05d", i), at(1, uint64(i+1)), time.Duration(i))
+	}
+	if n := s.known.Len(); n > room || s.bytes > s.most {
+		t.Errorf("%d sessions in %d bytes", n, s.bytes)
+	}
+	for i := range sessions {
+		if got := s.needs("news", fmt.Sprintf("s%05d", i)); got.Compare(at(1, uint64(i+1))) < 0 {
+			t.Fatalf("session %d needs %v", i, got)
+		}
 	}
-	if got := s.needs("news", "old"); got != at(1, 500) {
-		t.Errorf("a forgotten session needs %v", got)
+	if got := s.needs("olds", "s1"); !got.IsZero() {
+		t.Errorf("another slice needs %v", got)
+	}
+}
+
+// TestSessionsThatAllPassed leave no floor behind.
+func TestSessionsThatAllPassed(t *testing.T) {
+	s := freeSessions(1)
+	s.passed = func(string, position.Position) bool { return true }
+	s.wrote("news", "a", at(1, 5), 1)
+	if got := s.needs("news", "b"); !got.IsZero() {
+		t.Errorf("needs %v", got)
 	}
-	if got := s.needs("news", "never heard of"); got != at(1, 500) {
-		t.Errorf("an unknown session needs %v; it may be the forgotten one", got)
+}
+
+// TestSnapshotOfSessions: a whole one is as good as the life before; an old one leaves everybody guarded until
+// the primary was heard, and what it knows holds beside that.
+func TestSnapshotOfSessions(t *testing.T) {
+	cfg := testConfig()
+	cfg.DriverSessions, cfg.SessionBytes, cfg.SessionsWhole = true, 1<<20, true
+	r := newRig(t, cfg, fleetFacts())
+	w := r.ask(classWrite, token.Token{})
+	r.nodes["p"].facts = primary(at(1, 1100))
+	r.reply(r.sent(w))
+	cfg.Sessions = r.e.Sessions()
+	next := newRig(t, cfg, map[string]Facts{"p": primary(at(1, 1200)), "r1": replica(at(1, 1050)), "r2": replica(at(1, 1050))})
+	id := next.ask(classOwn, token.Token{})
+	next.run(100 * ms)
+	if c := next.sent(id); c.Node != "p" {
+		t.Errorf("after a whole snapshot the session's read went to %s", c.Node)
+	}
+	cfg.Sessions, cfg.SessionsWhole = nil, false
+	guarded := newRig(t, cfg, map[string]Facts{"p": primary(at(1, 1200)), "r1": replica(at(1, 1050)), "r2": replica(at(1, 1050))})
+	id = guarded.ask(classOwn, token.Token{})
+	guarded.run(100 * ms)
+	if c := guarded.sent(id); c.Node != "p" {
+		t.Errorf("without a snapshot a session's read went to %s, which lacks what it may have written", c.Node)
+	}
+	guarded.nodes["r1"].facts, guarded.nodes["r2"].facts = replica(at(1, 1200)), replica(at(1, 1200))
+	guarded.run(time.Second)
+	id = guarded.ask(classOwn, token.Token{})
+	guarded.run(100 * ms)
+	if c := guarded.sent(id); c.Node == "p" {
+		t.Error("it still goes to the primary though replicas have passed the floor")
+	}
+}
+
+// TestWithoutToken follows the class's policy, and a token lost on the way counts as more than none.
+func TestWithoutToken(t *testing.T) {
+	for policy, want := range map[Tokenless]string{TokenlessAccept: "replica", TokenlessPrimary: "p", TokenlessRefuse: "refused"} {
+		for _, lost := range []bool{false, true} {
+			cfg := testConfig()
+			cfg.Tokenless = []Tokenless{classOwn: policy}
+			r := newRig(t, cfg, fleetFacts())
+			r.step(Event{Kind: EventRequest, Request: 500, Ask: Ask{Class: classOwn, Slice: "news", Lost: lost, Deadline: r.now + time.Second}})
+			r.run(30 * ms)
+			got := "refused"
+			if r.isSent(500) {
+				if got = r.sent(500).Node; got != "p" {
+					got = "replica"
+				}
+			} else if a := r.answer(500); a.Cause != CauseTokenless {
+				t.Errorf("policy %d: %+v", policy, a)
+			}
+			expect := want
+			if lost && policy == TokenlessAccept {
+				expect = "p"
+			}
+			if got != expect {
+				t.Errorf("policy %d, lost %v: %s, want %s", policy, lost, got, expect)
+			}
+		}
+	}
+}
+
+// TestTokensThatCanNotBeServed are answered as such: of a write lost in a promotion, ahead of the primary, foreign.
+func TestTokensThatCanNotBeServed(t *testing.T) {
+	facts := fleetFacts()
+	p := primary(at(2, 1000))
+	p.Forks = []position.Position{at(1, 900)}
+	facts["p"], facts["r1"], facts["r2"] = p, replica(at(2, 1000)), replica(at(2, 1000))
+	r := newRig(t, testConfig(), facts)
+	if a := r.answer(r.ask(classOwn, token.Token{}.With("news", at(1, 950)))); a.Status != Refused || a.Cause != CauseTokenLost {
+		t.Errorf("lost: %+v", a)
+	}
+	kept := r.ask(classOwn, token.Token{}.With("news", at(1, 900)))
+	r.run(30 * ms)
+	r.reply(r.sent(kept))
+	if a := r.answer(kept); a.Status != Served {
+		t.Errorf("kept by the promotion: %+v", a)
+	}
+	ahead := r.ask(classOwn, token.Token{}.With("news", at(2, 5000)))
+	r.run(30 * ms)
+	c := r.sent(ahead)
+	if c.Node != "p" {
+		t.Fatalf("sent to %s", c.Node)
+	}
+	r.reply(c)
+	if a := r.answer(ahead); a.Status != Refused || a.Cause != CauseTokenAhead {
+		t.Errorf("ahead: %+v", a)
+	}
+	if a := r.answer(r.ask(classOwn, token.Token{}.With("olds", at(1, 5)))); a.Cause != CauseForeign {
+		t.Errorf("foreign: %+v", a)
+	}
+	r.quiet()
+}
+
+// TestPlacesLongPassedAreDropped from tokens that go back to clients.
+func TestPlacesLongPassedAreDropped(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	list := []Node{{Name: "p", Address: "p:1", Slice: "news", Hall: "a"}, {Name: "r1", Address: "r1:1", Slice: "news", Hall: "a"},
+		{Name: "r2", Address: "r2:1", Slice: "news", Hall: "a"}, {Name: "q", Address: "q:1", Slice: "olds", Hall: "a"}}
+	r.nodes["q"] = &fakeNode{facts: primary(at(1, 1000))}
+	r.step(Event{Kind: EventList, List: balance.ListFull, Nodes: list})
+	r.run(time.Second)
+	both := token.Token{}.With("news", at(1, 990)).With("olds", at(1, 990))
+	for _, wait := range []time.Duration{0, 2 * longPassed} {
+		r.run(wait)
+		id := r.ask(classOwn, both)
+		r.run(30 * ms)
+		r.reply(r.sent(id))
+		if _, named := r.answer(id).Token.At("olds"); named != (wait == 0) {
+			t.Errorf("after %v the place of the other slice is named: %v", wait, named)
+		}
 	}
 }
 
--- a/driver/facts.go
+++ b/driver/facts.go
@@ -123,7 +123,12 @@
 		return sentAt - e.cfg.Router.Origin, true
 	}
 	by, ok := s.clock.AppliedBy(f.Position)
-	return by - e.cfg.Router.Origin, ok && by > e.cfg.Router.Origin
+	if !ok || by <= e.cfg.Router.Origin {
+		// It was heard, and nothing of it is proven. Without a place the module would go on waiting for its
+		// first word, and hold reads that the primary could serve.
+		return 1, true
+	}
+	return by - e.cfg.Router.Origin, true
 }
 
 // report is what a poll's answer tells the module. A superseded primary counts as one that failed: it must
--- a/driver/sessions.go
+++ b/driver/sessions.go
@@ -3,75 +3,122 @@
 import (
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"umberladder/position"
 )
 
-const (
-	sessionKeep = 10 * time.Minute // a session not heard of for so long is forgotten
-	sessionMost = 100000           // so many are kept at once
-)
+// sessionCost is what one remembered session takes beside its names, in bytes: measured, rounded up.
+const sessionCost = 200
 
-// sessions remembers, where the driver itself follows sessions, how far the writes of each have come. What is
-// forgotten is not lost: it raises a floor that then holds for every session of the slice.
+// sessions remembers, where the driver itself follows sessions, how far the writes of each have come. What has
+// to make room is not lost: unless every member has passed it, it raises a floor that then holds for all
+// sessions of its slice that are not remembered.
 type sessions struct {
-	known map[sessionKey]*sessionAt
-	order []sessionKey // by first mention
+	known *simplelru.LRU[sessionKey, sessionAt]
+	bytes int
+	most  int // bytes
 	floor map[string]position.Position
-	// place names an unknown place that was written by a time, once the log was heard to stand there later.
-	place func(slice string, by time.Duration) (position.Position, bool)
+	// guarded are slices whose floor is not known yet: sessions that are not remembered may have written through
+	// an earlier life of this driver, so they ask for the present until the primary was heard.
+	guarded bool
+	begun   time.Duration
+	lift    func(slice string, since time.Duration) (position.Position, bool) // a place heard of the primary after a time
+	passed  func(slice string, at position.Position) bool                     // every member stands there or beyond
 }
 
 type sessionKey struct{ slice, session string }
 
 type sessionAt struct {
 	at   position.Position
-	last time.Duration
+	last time.Duration // when it wrote last
 }
 
-func (s *sessions) wrote(slice, session string, at position.Position, now time.Duration) {
-	if s.known == nil {
-		s.known, s.floor = map[sessionKey]*sessionAt{}, map[string]position.Position{}
+func (k sessionKey) cost() int { return len(k.slice) + len(k.session) + sessionCost }
+
+func newSessions(most int) *sessions {
+	lru, err := simplelru.NewLRU[sessionKey, sessionAt](1<<31-1, nil)
+	if err != nil {
+		panic(err) // only for a size below one
 	}
+	return &sessions{known: lru, most: max(most, 1), floor: map[string]position.Position{}}
+}
+
+func (s *sessions) wrote(slice, session string, at position.Position, now time.Duration) {
 	key := sessionKey{slice, session}
-	known := s.known[key]
-	if known == nil {
-		known = &sessionAt{}
-		s.known[key] = known
-		s.order = append(s.order, key)
+	known, again := s.known.Get(key)
+	if !again {
+		s.bytes += key.cost()
+	}
+	s.known.Add(key, sessionAt{known.at.Max(at), now})
+	for s.bytes > s.most && s.known.Len() > 0 {
+		s.evict()
+	}
+}
+
+func (s *sessions) evict() {
+	key, known, _ := s.known.RemoveOldest()
+	s.bytes -= key.cost()
+	if known.at.LSN == position.Unknown {
+		if at, ok := s.lift(key.slice, known.last); ok {
+			known.at = at
+		}
+	}
+	if !s.passed(key.slice, known.at) {
+		s.floor[key.slice] = s.floor[key.slice].Max(known.at)
 	}
-	known.at, known.last = known.at.Max(at), now
-	s.prune(now)
 }
 
 // needs is the place that a read of the session must see, the zero Position for none.
 func (s *sessions) needs(slice, session string) position.Position {
-	need := s.floor[slice]
-	if known := s.known[sessionKey{slice, session}]; known != nil {
-		need = need.Max(known.at)
+	if known, ok := s.known.Get(sessionKey{slice, session}); ok {
+		return known.at.Max(s.floor[slice])
+	}
+	floor := s.floor[slice]
+	if s.guarded {
+		at, ok := s.lift(slice, s.begun)
+		if !ok {
+			return position.Present
+		}
+		return floor.Max(at)
 	}
-	return need
+	return floor
 }
 
-// prune looks at the oldest mentions only: one that was heard of since goes to the end again.
-func (s *sessions) prune(now time.Duration) {
-	for range 2 {
-		if len(s.order) == 0 {
-			return
-		}
-		key := s.order[0]
-		known := s.known[key]
-		if len(s.known) <= sessionMost && now-known.last < sessionKeep {
-			return
-		}
-		s.order = s.order[1:]
-		if now-known.last < sessionKeep/2 && len(s.known) <= 2*sessionMost {
-			s.order = append(s.order, key)
-			continue
-		}
-		if at, ok := s.place(key.slice, known.last); ok && known.at.LSN == position.Unknown {
-			known.at = at
-		}
-		s.floor[key.slice] = s.floor[key.slice].Max(known.at)
-		delete(s.known, key)
+// SessionState is what a driver knows of sessions, for another life of it.
+type SessionState struct {
+	Sessions []SessionPlace               `cbor:"1,keyasint"`
+	Floors   map[string]position.Position `cbor:"2,keyasint"`
+}
+
+// SessionPlace is how far the writes of a session have come in a slice.
+type SessionPlace struct {
+	Slice   string            `cbor:"1,keyasint"`
+	Session string            `cbor:"2,keyasint"`
+	At      position.Position `cbor:"3,keyasint"`
+}
+
+// Sessions is what the engine knows of sessions, the least recently used first.
+func (e *Engine) Sessions() *SessionState {
+	st := &SessionState{Floors: e.sessions.floor}
+	for _, key := range e.sessions.known.Keys() {
+		known, _ := e.sessions.known.Peek(key)
+		st.Sessions = append(st.Sessions, SessionPlace{key.slice, key.session, known.at})
+	}
+	return st
+}
+
+// restore takes over what an earlier life knew. Without it, or with one that may lack the newest writes, every
+// session that is not remembered is guarded.
+func (s *sessions) restore(st *SessionState, whole bool, now time.Duration) {
+	s.guarded, s.begun = !whole, now
+	if st == nil {
+		return
+	}
+	for slice, at := range st.Floors {
+		s.floor[slice] = at
+	}
+	for _, p := range st.Sessions {
+		s.wrote(p.Slice, p.Session, p.At, now)
 	}
 }
--- a/inventory/lastgood.go
+++ b/inventory/lastgood.go
@@ -54,19 +54,21 @@
 	}
 	text := append([]byte(lastGoodMagic), body...)
 	text = binary.BigEndian.AppendUint64(text, xxhash.Sum64(text))
-	return replaceFile(path, text)
+	return ReplaceFile(path, text)
 }
 
-func replaceFile(path string, text []byte) (err error) {
+// ReplaceFile puts text in the place of a file: written beside it, synced and renamed, so that a crash leaves the
+// old text or the new.
+func ReplaceFile(path string, text []byte) (err error) {
 	dir := filepath.Dir(path)
 	f, err := os.CreateTemp(dir, filepath.Base(path)+".new*")
 	if err != nil {
-		return fmt.Errorf("last good inventory: %w", err)
+		return fmt.Errorf("%s: %w", path, err)
 	}
 	defer func() {
 		if err != nil {
 			os.Remove(f.Name())
-			err = fmt.Errorf("last good inventory: %w", err)
+			err = fmt.Errorf("%s: %w", path, err)
 		}
 	}()
 	if _, err = f.Write(text); err == nil {
--- a/server/server.go
+++ b/server/server.go
@@ -62,7 +62,13 @@
 	if err != nil {
 		return nil, err
 	}
-	engine, err := driver.New(engineConfig(s), seed)
+	cfg := engineConfig(s)
+	if cfg.DriverSessions {
+		if cfg.Sessions, cfg.SessionsWhole, err = takeSessions(s.StateDir, time.Now()); err != nil {
+			log.Warn(err.Error())
+		}
+	}
+	engine, err := driver.New(cfg, seed)
 	if err != nil {
 		return nil, err
 	}
@@ -89,7 +95,7 @@
 }
 
 func engineConfig(s *settings.Settings) driver.Config {
-	return driver.Config{Router: s.Router(), Halls: s.Halls, DriverSessions: s.RouterTokens, MaxOpen: s.MaxOpen,
+	return driver.Config{Router: s.Router(), Halls: s.Halls, DriverSessions: s.RouterTokens, SessionBytes: s.SessionBytes, MaxOpen: s.MaxOpen,
 		PoolSize: s.PoolSize, IdleClose: s.IdleClose, Linger: s.Linger, PollTimeout: s.PollTimeout,
 		ClockAge: s.ClockAge, AnswerMargin: s.AnswerMargin, CancelWork: s.CancelWork, Tokenless: tokenless(s)}
 }
@@ -207,6 +213,11 @@
 	end()
 	err := all.Wait()
 	conns.Wait()
+	if ctx.Err() != nil && s.killed.Err() == nil && s.settings.RouterTokens {
+		if e := keepSessions(s.settings.StateDir, s.loop.engine.Sessions(), time.Now()); e != nil {
+			s.log.Error(e.Error())
+		}
+	}
 	s.log.Info("driver stopped")
 	return err
 }
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -104,6 +104,7 @@
 	{"tokens", []field{
 		text("keys", "file with the keys that sign tokens, mode 0600; without it they are not signed", func(s *Settings) *string { return &s.TokenKeys }),
 		flag("bind-session", "a token is believed only with the session that it was given to", func(s *Settings) *bool { return &s.TokenScope }),
+		size("session-memory", "memory for the sessions that this driver follows itself", 1<<10, 1<<30, func(s *Settings) *int { return &s.SessionBytes }),
 		flag("history", "nodes are asked where timelines began, which tells tokens of lost writes", func(s *Settings) *bool { return &s.TokenHistory }),
 	}},
 	{"stop", []field{
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -60,6 +60,7 @@
 
 	TokenKeys    string // file of the keys that sign tokens; "" for unsigned ones
 	TokenScope   bool   // a token is believed only with the session that it was given to
+	SessionBytes int    // memory for sessions that the driver follows itself
 	TokenHistory bool   // nodes are asked where timelines began, which tells tokens of lost writes
 
 	ListenGRPC    string
@@ -112,7 +113,7 @@
 // Defaults is what holds for directives that a file doesn't have.
 func Defaults() *Settings {
 	return &Settings{
-		ListenGRPC: "127.0.0.1:7432", Members: membership.Defaults(), LeastMembers: 1,
+		ListenGRPC: "127.0.0.1:7432", Members: membership.Defaults(), LeastMembers: 1, SessionBytes: 32 << 20,
 		Round: time.Millisecond, Positions: true, AskWithin: 10 * time.Second,
 		DrainGrace: 500 * time.Millisecond, ColdFrom: 0.2, RampTime: 12 * time.Second, TipMultiple: 3,
 		Fall: time.Second, Cancel: true, Probing: true, TryLimit: 10, DialTimeout: 250 * time.Millisecond,
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -71,6 +71,7 @@
 tokens {
     keys /tmp/k
     bind-session on
+    session-memory 1MiB
     history on
 }
 stop within 3s
