Places are ordered by timeline and LSN each: a newer timeline alone does not cover an older place

A replica that follows the new timeline still replays what it shares with the old one, and counted as beyond it; joins lost the write's place. Change: Covers and Join compare both parts; a place that was not heard is reached by a replica only once it is proven to have come into the newer timeline.

--- a/causalcache/cache.go
+++ b/causalcache/cache.go
@@ -84,7 +84,7 @@
 	h, readable := have.Peek()
 	asked, any := n.At(slice)
 	held, ok := h.At(slice)
-	return whole && readable && (!any || ok && held.Compare(asked) >= 0)
+	return whole && readable && (!any || ok && held.Covers(asked))
 }
 
 // covers tells whether what stands for have holds all that need asks for. Where a token of need can't be read
--- a/driver/conns.go
+++ b/driver/conns.go
@@ -422,7 +422,7 @@
 
 func (e *Engine) answerOf(q *request, a *attempt, r *Result, at position.Position) Answer {
 	if q.need.LSN != position.Unknown || r.Facts.Replica {
-		at = at.Max(q.need) // else the primary's present covers what was unknown
+		at = at.Join(q.need) // else the primary's present covers what was unknown
 	}
 	return Answer{Status: Served, Token: e.trimmed(q.ask.Token, q.slice).With(q.ask.Slice, at), Node: a.node.listed.Name,
 		Hall: a.node.listed.Hall, Facts: r.Facts, Payload: r.Payload, Attempts: len(q.attempts)}
--- a/driver/engine.go
+++ b/driver/engine.go
@@ -278,7 +278,7 @@
 	need, told := q.ask.Token.At(q.ask.Slice)
 	if e.cfg.DriverSessions && q.ask.Session != "" {
 		at := e.sessions.needs(q.ask.Slice, q.ask.Session)
-		need, told = need.Max(at), told || !at.IsZero()
+		need, told = need.Join(at), told || !at.IsZero()
 	}
 	if q.class.Need == balance.NeedSession && (!told || q.ask.Lost) {
 		switch policy := e.tokenless(q.ask.Class); {
--- a/driver/engine_test.go
+++ b/driver/engine_test.go
@@ -407,7 +407,7 @@
 		t.Errorf("%d sessions in %d bytes", n, s.bytes)
 	}
 	for i := range sessions {
-		if got := s.needs("news", fmt.Sprintf("s%05d", i)); got.Compare(at(1, uint64(i+1))) < 0 {
+		if got := s.needs("news", fmt.Sprintf("s%05d", i)); !got.Covers(at(1, uint64(i+1))) {
 			t.Fatalf("session %d needs %v", i, got)
 		}
 	}
@@ -590,3 +590,26 @@
 	}
 	r.quiet()
 }
+
+// TestUnknownPlaceAfterAPromotion: a replica that follows the new timeline and still replays what it shares with
+// the old one may lack the commit whose place was not heard.
+func TestUnknownPlaceAfterAPromotion(t *testing.T) {
+	facts := map[string]Facts{"p": primary(at(2, 1000)), "r1": replica(at(2, 600)), "r2": replica(at(2, 600))}
+	r := newRig(t, testConfig(), facts)
+	tok := token.Token{}.With("news", at(1, position.Unknown))
+	id := r.ask(classOwn, tok)
+	r.run(50 * ms)
+	if c := r.sent(id); c.Node != "p" {
+		t.Errorf("it went to %s", c.Node)
+	}
+	r.nodes["r1"].facts, r.nodes["r2"].facts = replica(at(2, 1000)), replica(at(2, 1000))
+	r.run(time.Second)
+	id = r.ask(classOwn, tok)
+	r.run(50 * ms)
+	c := r.sent(id)
+	r.reply(c)
+	if a := r.answer(id); a.Status != Served {
+		t.Errorf("at %s: %+v", c.Node, a)
+	}
+	r.quiet()
+}
--- a/driver/facts.go
+++ b/driver/facts.go
@@ -164,7 +164,7 @@
 // fits tells whether a read's answer is as new as its class and token ask. The facts are those asked for
 // before the read on the same connection, so that what it saw is at least that new.
 func (e *Engine) fits(q *request, f Facts, sentAt time.Duration) bool {
-	if !f.Known || q.slice.superseded(f) || !covers(f, q.need) {
+	if !f.Known || q.slice.superseded(f) || !q.slice.reaches(f, q.need) {
 		return false
 	}
 	switch q.class.Need {
@@ -181,17 +181,25 @@
 }
 
 // covers tells whether a node that stands where f says has what need asks for. A place of an older timeline
-// that survived is before the promotion, and so in every member of the newer one that has come as far.
+// that survived lies before the promotion, and so in every member of the newer one that has come as far.
 func covers(f Facts, need position.Position) bool {
 	switch {
 	case need.IsZero():
 		return true
 	case need == position.Present:
 		return !f.Replica
-	case f.Position.Timeline < need.Timeline:
-		return false
 	case need.LSN == position.Unknown:
-		return !f.Replica || f.Position.Timeline > need.Timeline
+		return !f.Replica && f.Position.Timeline >= need.Timeline
 	}
-	return f.Position.LSN >= need.LSN
+	return f.Position.Covers(need)
+}
+
+// reaches is covers for a node of a slice: a replica that is proven to have come into a newer timeline has all
+// that the older one kept, wherever it stood.
+func (s *slice) reaches(f Facts, need position.Position) bool {
+	if need.LSN == position.Unknown && need != position.Present && f.Replica && f.Position.Timeline > need.Timeline {
+		_, proven := s.clock.AppliedBy(f.Position)
+		return proven
+	}
+	return covers(f, need)
 }
--- a/driver/sessions.go
+++ b/driver/sessions.go
@@ -50,7 +50,7 @@
 	if !again {
 		s.bytes += key.cost()
 	}
-	s.known.Add(key, sessionAt{known.at.Max(at), now})
+	s.known.Add(key, sessionAt{known.at.Join(at), now})
 	for s.bytes > s.most && s.known.Len() > 0 {
 		s.evict()
 	}
@@ -65,14 +65,14 @@
 		}
 	}
 	if !s.passed(key.slice, known.at) {
-		s.floor[key.slice] = s.floor[key.slice].Max(known.at)
+		s.floor[key.slice] = s.floor[key.slice].Join(known.at)
 	}
 }
 
 // needs is the place that a read of the session must see, the zero Position for none.
 func (s *sessions) needs(slice, session string) position.Position {
 	if known, ok := s.known.Get(sessionKey{slice, session}); ok {
-		return known.at.Max(s.floor[slice])
+		return known.at.Join(s.floor[slice])
 	}
 	floor := s.floor[slice]
 	if s.guarded {
@@ -80,7 +80,7 @@
 		if !ok {
 			return position.Present
 		}
-		return floor.Max(at)
+		return floor.Join(at)
 	}
 	return floor
 }
--- a/lab/chain.go
+++ b/lab/chain.go
@@ -334,7 +334,7 @@
 	if err == nil && r.Method == http.MethodGet && whole {
 		holds, _ := token.Parse(p.Token)
 		need, any := seen.At(slice)
-		if at, ok := holds.At(slice); any && (!ok || at.Compare(need) < 0) {
+		if at, ok := holds.At(slice); any && (!ok || !at.Covers(need)) {
 			c.found.Add(1)
 			q.Set("fresh", "1")
 			p, res, err = ask()
--- a/position/position.go
+++ b/position/position.go
@@ -38,8 +38,7 @@
 // IsZero tells whether p is no place at all.
 func (p Position) IsZero() bool { return p == Position{} }
 
-// Compare orders by timeline, then by LSN. Later is newer wherever the older place survived the promotions
-// between them.
+// Compare sorts by timeline, then by LSN. Covers is the order that tells who has seen more.
 func (p Position) Compare(q Position) int {
 	switch {
 	case p.Timeline != q.Timeline:
@@ -55,12 +54,14 @@
 	return 0
 }
 
-// Max is the later of both.
-func (p Position) Max(q Position) Position {
-	if p.Compare(q) < 0 {
-		return q
-	}
-	return p
+// Covers tells whether whoever stands at p has all that a place q of the same history stands for: p is no older
+// by timeline and no earlier by LSN. The timeline alone does not tell: a replica that follows a newer timeline
+// may still replay the part that is shared with the older one.
+func (p Position) Covers(q Position) bool { return p.Timeline >= q.Timeline && p.LSN >= q.LSN }
+
+// Join is the least place that covers both.
+func (p Position) Join(q Position) Position {
+	return Position{Timeline: max(p.Timeline, q.Timeline), LSN: max(p.LSN, q.LSN)}
 }
 
 // String writes PostgreSQL's form with the timeline in front: 2:16/B374D848.
--- a/token/token.go
+++ b/token/token.go
@@ -159,7 +159,7 @@
 			out.add(u.entries[j], t.present)
 			j++
 		default:
-			out.entries = append(out.entries, entry{t.entries[i].id, t.entries[i].at.Max(u.entries[j].at)})
+			out.entries = append(out.entries, entry{t.entries[i].id, t.entries[i].at.Join(u.entries[j].at)})
 			i, j = i+1, j+1
 		}
 	}
@@ -181,7 +181,7 @@
 	}
 	for _, e := range need.entries {
 		i, ok := t.find(e.id)
-		if ok && t.entries[i].at.Compare(e.at) < 0 || !ok && !t.present {
+		if ok && !t.entries[i].at.Covers(e.at) || !ok && !t.present {
 			return false
 		}
 	}
--- a/token/token_test.go
+++ b/token/token_test.go
@@ -66,7 +66,7 @@
 		}
 		for _, s := range []string{"a", "b", "c", "d", "e", "f"} {
 			x, _ := a.At(s)
-			if y, _ := j.At(s); y.Compare(x) < 0 {
+			if y, _ := j.At(s); !y.Covers(x) {
 				t.Fatalf("the join asks for less of %s", s)
 			}
 		}
@@ -84,12 +84,22 @@
 	}
 	for i := range 3 * MaxSlices {
 		at, ok := tok.At(fmt.Sprintf("s%d", i))
-		if !ok || at.Compare(position.Position{Timeline: 1, LSN: uint64(i + 1)}) < 0 {
+		if !ok || !at.Covers(position.Position{Timeline: 1, LSN: uint64(i + 1)}) {
 			t.Fatalf("s%d: %v", i, at)
 		}
 	}
 }
 
+// TestSharedPart: a replica on a newer timeline that still replays the part shared with the older one does not
+// cover a later place of the older, and joining both loses neither.
+func TestSharedPart(t *testing.T) {
+	wrote := Token{}.With("news", position.Position{Timeline: 1, LSN: 23296})
+	read := Token{}.With("news", position.Position{Timeline: 2, LSN: 22400})
+	if read.Covers(wrote) || !read.Join(wrote).Covers(wrote) || !wrote.Join(read).Covers(read) {
+		t.Error("the write was lost")
+	}
+}
+
 func TestSize(t *testing.T) {
 	ring, _ := NewKeyring(map[uint64][]byte{200: make([]byte, 32)}, 200)
 	var tok Token
