--- a/cmd/umberladder/serve.go
+++ b/cmd/umberladder/serve.go
@@ -20,7 +20,7 @@
 func serveCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "serve CONFIG",
-		Short: "Run a driver until SIGTERM; SIGHUP reads the nodes of CONFIG again",
+		Short: "Run a driver until SIGTERM; SIGHUP reads the nodes of CONFIG and the token keys again",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			s, err := settings.Read(args[0])
@@ -60,8 +60,13 @@
 			log.Error("settings are not taken, the old ones stay: " + err.Error())
 			continue
 		}
-		srv.SetNodes(s.Nodes)
-		log.Info("nodes read again", zap.Int("nodes", len(s.Nodes)))
+		if err := srv.ReloadKeys(); err != nil {
+			log.Error("token keys are not taken, the old ones stay: " + err.Error())
+		}
+		if len(s.Inventory) == 0 {
+			srv.SetNodes(s.Nodes)
+			log.Info("nodes read again", zap.Int("nodes", len(s.Nodes)))
+		}
 	}
 }
 
--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -23,6 +23,11 @@
 	check(t, func() (*Report, error) { return Inventory(12) })
 }
 
+// TestChain plays one chain of services.
+func TestChain(t *testing.T) {
+	check(t, func() (*Report, error) { return Chain(13) })
+}
+
 func TestDemo(t *testing.T) {
 	var out bytes.Buffer
 	check(t, func() (*Report, error) { return Demo(&out) })
