--- a/carry/carry.go
+++ b/carry/carry.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"umberladder/token"
@@ -14,18 +15,20 @@
 
 // Names under which tokens travel.
 const (
-	Header      = "Umberladder-Token" // HTTP, in requests and answers
-	Cookie      = "umberladder"       // HTTP, for browsers
-	MetadataKey = "umberladder-token" // gRPC, in requests, answers' headers and trailers
-	BaggageKey  = "umberladder.token" // W3C baggage, in requests
-	maxCookie   = 3800                // bytes of a cookie that browsers and proxies keep
+	Header      = "Umberladder-Token"   // HTTP, in requests and answers
+	Cookie      = "umberladder"         // HTTP, for browsers
+	MetadataKey = "umberladder-token"   // gRPC, in requests, answers' headers and trailers
+	Settled     = "Umberladder-Settled" // HTTP and gRPC, in answers: the bag with a lost token that was settled
+	BaggageKey  = "umberladder.token"   // W3C baggage, in requests
+	maxCookie   = 3800                  // bytes of a cookie that browsers and proxies keep
 )
 
 // Collector is what one request has seen: the tokens that came with it and those of all calls made for it. It
 // is safe for concurrent use.
 type Collector struct {
-	mu  sync.Mutex
-	bag token.Bag
+	mu    sync.Mutex
+	bag   token.Bag
+	first token.Bag // what it began with
 }
 
 // Bag is the union so far.
@@ -58,6 +61,26 @@
 	c.bag = c.bag.Absorb(token.ParseBag(values...))
 }
 
+// settled takes note that whoever was handed a bag in which a token was lost has settled that: a driver answered
+// by the present of the slice, and its token asks for the present of the others. The digest proves that the
+// very bag arrived.
+func (c *Collector) settled(handed token.Bag, digests []string, values ...string) {
+	if c == nil || !handed.HasUnknown() || !slices.Contains(digests, handed.Digest()) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bag = c.bag.Replace(handed, "").Absorb(token.ParseBag(values...))
+}
+
+// settles is the digest to hand back if the lost token that came was settled, "" if not, or if none came.
+func (c *Collector) settles() string {
+	if c.first.HasUnknown() && !c.Bag().HasUnknown() {
+		return c.first.Digest()
+	}
+	return ""
+}
+
 // Covered takes note that a driver answered: its token stands for all that it was handed.
 func (c *Collector) Covered(handed token.Bag, answer string) {
 	if c == nil {
@@ -74,6 +97,7 @@
 func NewContext(ctx context.Context, values ...string) (context.Context, *Collector) {
 	c := &Collector{}
 	c.Add(values...)
+	c.first = c.bag
 	return context.WithValue(ctx, key{}, c), c
 }
 
--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -151,3 +151,39 @@
 		t.Errorf("the stream's token is not among %q", c.Bag())
 	}
 }
+
+// TestLostTokenIsSettled: who called a driver with a bag in which a token was lost has an answer that covers it;
+// that comes up the chain, but only where the very bag arrived.
+func TestLostTokenIsSettled(t *testing.T) {
+	for _, drops := range []bool{false, true} {
+		back := httptest.NewServer(Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			c := FromContext(r.Context())
+			c.Covered(c.Bag(), token.Token{}.WithPresent().With("news", position.Position{Timeline: 1, LSN: 9}).String())
+		}), false))
+		ctx, c := NewContext(t.Context(), tok("news", 3), token.Unknown)
+		base := http.RoundTripper(http.DefaultTransport)
+		if drops {
+			base = dropper{}
+		}
+		req, _ := http.NewRequestWithContext(ctx, "GET", back.URL, nil)
+		res, err := (&http.Client{Transport: &Transport{Base: base}}).Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		back.Close()
+		if c.Bag().HasUnknown() != drops {
+			t.Errorf("drops %v: the bag is %q", drops, c.Bag())
+		}
+	}
+}
+
+// dropper is a hop that loses tokens.
+type dropper struct{}
+
+func (dropper) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Del(Header)
+	r.Header.Del("Baggage")
+	return http.DefaultTransport.RoundTrip(r)
+}
--- a/carry/grpc.go
+++ b/carry/grpc.go
@@ -26,10 +26,12 @@
 func UnaryClient() grpc.UnaryClientInterceptor {
 	return func(ctx context.Context, method string, req, reply any, cc *grpc.ClientConn, invoke grpc.UnaryInvoker, opts ...grpc.CallOption) error {
 		c := FromContext(ctx)
+		handed := c.Bag()
 		ctx = outgoing(ctx)
 		var head, tail metadata.MD
 		err := invoke(ctx, method, req, reply, cc, append(opts, grpc.Header(&head), grpc.Trailer(&tail))...)
 		c.Answered(append(head.Get(MetadataKey), tail.Get(MetadataKey)...)...)
+		c.settled(handed, tail.Get(Settled), tail.Get(MetadataKey)...)
 		return err
 	}
 }
@@ -76,7 +78,7 @@
 		ctx, c := incoming(ctx)
 		res, err := handle(ctx, req)
 		if bag := c.Bag(); !bag.IsEmpty() {
-			grpc.SetTrailer(ctx, metadata.Pairs(MetadataKey, bag.String()))
+			grpc.SetTrailer(ctx, metadata.Pairs(MetadataKey, bag.String(), Settled, c.settles()))
 		}
 		return res, err
 	}
--- a/carry/http.go
+++ b/carry/http.go
@@ -82,6 +82,9 @@
 	}
 	text := bag.String()
 	w.Header().Set(Header, text)
+	if digest := w.collector.settles(); digest != "" {
+		w.Header().Set(Settled, digest)
+	}
 	w.Header().Add("Cache-Control", "private")
 	if w.cookie {
 		if len(text) > maxCookie {
@@ -127,5 +130,6 @@
 		return nil, err
 	}
 	c.Answered(res.Header.Values(Header)...)
+	c.settled(bag, res.Header.Values(Settled), res.Header.Values(Header)...)
 	return res, nil
 }
--- a/causalcache/cache.go
+++ b/causalcache/cache.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -106,6 +107,22 @@
 // by fetch. The bag returned is what they have seen after it: nothing that they had seen before is lost.
 // Misses at one time share a fetch if its tokens cover theirs; those that it does not cover share the next.
 func (c *Cache[V]) Get(ctx context.Context, key Key, seen token.Bag, fetch Fetch[V]) (Entry[V], token.Bag, error) {
+	for range tries {
+		e, after, err := c.get(ctx, key, seen, fetch)
+		if _, whole := seen.Peek(); err != nil || !whole || coversPart(e.Tokens, seen, key.Slice) {
+			return e, after, err
+		}
+	}
+	return Entry[V]{}, seen, ErrBehind
+}
+
+// tries is how often an answer is fetched that does not cover what it was asked for.
+const tries = 3
+
+// ErrBehind says that every answer fetched held less than its tokens asked for: somebody on the way drops them.
+var ErrBehind = errors.New("causalcache: the answers fetched hold less than the tokens asked for; a hop on the way drops tokens")
+
+func (c *Cache[V]) get(ctx context.Context, key Key, seen token.Bag, fetch Fetch[V]) (Entry[V], token.Bag, error) {
 	c.mu.Lock()
 	if e, ok := c.kept(key, seen); ok {
 		c.stats.Hits++
--- a/driver/conns.go
+++ b/driver/conns.go
@@ -424,7 +424,11 @@
 	if q.need.LSN != position.Unknown || r.Facts.Replica {
 		at = at.Join(q.need) // else the primary's present covers what was unknown
 	}
-	return Answer{Status: Served, Token: e.trimmed(q.ask.Token, q.slice).With(q.ask.Slice, at), Node: a.node.listed.Name,
+	tok := e.trimmed(q.ask.Token, q.slice)
+	if q.ask.Lost {
+		tok = tok.WithPresent() // what was lost may be of any slice; of this one it is settled by this answer
+	}
+	return Answer{Status: Served, Token: tok.With(q.ask.Slice, at), Node: a.node.listed.Name,
 		Hall: a.node.listed.Hall, Facts: r.Facts, Payload: r.Payload, Attempts: len(q.attempts)}
 }
 
--- a/token/bag.go
+++ b/token/bag.go
@@ -1,8 +1,11 @@
 package token
 
 import (
+	"fmt"
 	"slices"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // MaxBag is how many texts a Bag keeps.
@@ -108,6 +111,12 @@
 	return rest.Join(from)
 }
 
+// HasUnknown tells whether a token was lost on the way.
+func (b Bag) HasUnknown() bool { return slices.Contains(b.texts, Unknown) }
+
+// Digest names the bag, for who settled it to say so.
+func (b Bag) Digest() string { return fmt.Sprintf("%016x", xxhash.Sum64String(b.String())) }
+
 // IsEmpty tells whether there is no text.
 func (b Bag) IsEmpty() bool { return len(b.texts) == 0 }
 
--- a/token/token.go
+++ b/token/token.go
@@ -95,6 +95,9 @@
 	return ids
 }
 
+// WithPresent is the token with all slices that it doesn't name asked for as they are at present.
+func (t Token) WithPresent() Token { return Token{entries: t.entries, present: true} }
+
 // Place is the place of a slice that the token names, by its ID.
 func (t Token) Place(id SliceID) position.Position {
 	if i, ok := t.find(id); ok {
