A token that asks for the present does not say that an answer holds it; world in simulated time begun

Change: the answer's own place goes into its token; caches take no unknown place for a holding. lab/world: the engine as it is, in virtual time, with models of nodes and logs, seeded by part.

--- a/causalcache/cache.go
+++ b/causalcache/cache.go
@@ -11,6 +11,7 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 
+	"umberladder/position"
 	"umberladder/token"
 )
 
@@ -85,7 +86,8 @@
 	h, readable := have.Peek()
 	asked, any := n.At(slice)
 	held, ok := h.At(slice)
-	return whole && readable && (!any || ok && held.Covers(asked))
+	// An unknown place asks for the present; it does not say that an answer holds it.
+	return whole && readable && (!any || ok && held.LSN != position.Unknown && held.Covers(asked))
 }
 
 // covers tells whether what stands for have holds all that need asks for. Where a token of need can't be read
--- a/causalcache/cache_test.go
+++ b/causalcache/cache_test.go
@@ -111,6 +111,14 @@
 	}
 }
 
+// TestUnknownPlaceHoldsNothing: a token that asks for the present is no word for what an answer holds.
+func TestUnknownPlaceHoldsNothing(t *testing.T) {
+	unknown := token.ParseBag(token.Token{}.With("news", position.Position{Timeline: 1, LSN: position.Unknown}).String())
+	if coversPart(unknown, tok("news", 3), "news") {
+		t.Error("it counts as holding everything")
+	}
+}
+
 // TestHopThatDropsTokens: an answer that holds less than was asked for is fetched again, and in the end refused.
 func TestHopThatDropsTokens(t *testing.T) {
 	for _, drops := range []int{1, 100} {
--- a/driver/conns.go
+++ b/driver/conns.go
@@ -421,8 +421,8 @@
 }
 
 func (e *Engine) answerOf(q *request, a *attempt, r *Result, at position.Position) Answer {
-	if q.need.LSN != position.Unknown || r.Facts.Replica {
-		at = at.Join(q.need) // else the primary's present covers what was unknown
+	if q.need.LSN != position.Unknown {
+		at = at.Join(q.need) // else the answer covers what was unknown, and its own place says more
 	}
 	tok := e.trimmed(q.ask.Token, q.slice)
 	if q.ask.Lost {
--- a/driver/engine_test.go
+++ b/driver/engine_test.go
@@ -608,8 +608,9 @@
 	r.run(50 * ms)
 	c := r.sent(id)
 	r.reply(c)
-	if a := r.answer(id); a.Status != Served {
-		t.Errorf("at %s: %+v", c.Node, a)
+	a := r.answer(id)
+	if got, _ := a.Token.At("news"); a.Status != Served || got != at(2, 1000) {
+		t.Errorf("at %s: %+v; its token says more than the answer holds", c.Node, a)
 	}
 	r.quiet()
 }
--- a/lab/chain.go
+++ b/lab/chain.go
@@ -338,7 +338,7 @@
 	if err == nil && r.Method == http.MethodGet {
 		holds, _ := token.Parse(p.Token)
 		need, any := seen.At(slice)
-		if at, ok := holds.At(slice); any && (!ok || !at.Covers(need)) {
+		if at, ok := holds.At(slice); any && (!ok || at.LSN == position.Unknown || !at.Covers(need)) {
 			c.found.Add(1)
 			q.Set("fresh", "1")
 			p, res, err = ask()
--- /dev/null
+++ b/lab/world/node.go
@@ -0,0 +1,217 @@
+package world
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"umberladder/driver"
+	"umberladder/pgwire"
+	"umberladder/position"
+)
+
+// slice is a primary with its replicas and their log.
+type slice struct {
+	w        *World
+	name     string
+	nodes    []*node
+	primary  *node
+	timeline uint32
+	lsn      uint64
+	commits  []commit // of the present history, rising
+}
+
+type commit struct {
+	lsn uint64
+	at  time.Duration
+}
+
+// node is one db node: cores that work, a line before them, and a log that a replica replays on one thread.
+type node struct {
+	slice    *slice
+	name     string
+	down     bool
+	epoch    int // grows with each death: what was under way then is void
+	busy     int
+	line     []func()
+	work     func() time.Duration
+	links    map[*link]bool
+	out      map[*link]int
+	timeline uint32
+	applied  []commit // when a replica had replayed each place; the primary has all
+	free     time.Duration
+}
+
+func (w *World) build() {
+	for s := range w.cfg.Slices {
+		sl := &slice{w: w, name: fmt.Sprintf("s%d", s), timeline: 1, lsn: 64}
+		for m := range w.cfg.Members {
+			n := &node{slice: sl, name: fmt.Sprintf("db%d-%d", s, m), links: map[*link]bool{}, out: map[*link]int{}, timeline: 1,
+				applied: []commit{{64, start}}}
+			n.work = lognormal(w.cfg.Work, w.cfg.Spread, w.stream("work "+n.name))
+			sl.nodes = append(sl.nodes, n)
+			w.nodes[n.name] = n
+		}
+		sl.primary = sl.nodes[0]
+		w.slices = append(w.slices, sl)
+	}
+}
+
+// stands is where the node stands now.
+func (n *node) stands() position.Position {
+	if n == n.slice.primary {
+		return position.Position{Timeline: n.timeline, LSN: n.slice.lsn}
+	}
+	i := sort.Search(len(n.applied), func(i int) bool { return n.applied[i].at > n.slice.w.now })
+	if i == 0 {
+		return position.Position{Timeline: n.timeline, LSN: 64}
+	}
+	return position.Position{Timeline: n.timeline, LSN: n.applied[i-1].lsn}
+}
+
+func (n *node) facts() driver.Facts {
+	return driver.Facts{Known: true, Replica: n != n.slice.primary, Position: n.stands()}
+}
+
+func (n *node) ask(l *link) {
+	if !n.down && !l.closed {
+		l.reply(driver.Result{Facts: n.facts()})
+	}
+}
+
+// serve takes a request: it waits for a core, works, and answers.
+func (n *node) serve(l *link, q *request, write bool) {
+	if n.down || l.closed && !write {
+		return
+	}
+	n.out[l]++
+	epoch := n.epoch
+	run := func() {
+		facts := n.facts() // before a read
+		n.slice.w.at(n.slice.w.now+n.work(), func() {
+			if n.epoch == epoch {
+				n.finish(l, q, write, facts)
+			}
+		})
+	}
+	if n.busy < n.slice.w.cfg.Cores {
+		n.busy++
+		run()
+		return
+	}
+	n.line = append(n.line, run)
+}
+
+func (n *node) finish(l *link, q *request, write bool, facts driver.Facts) {
+	if len(n.line) > 0 {
+		next := n.line[0]
+		n.line = n.line[1:]
+		next()
+	} else {
+		n.busy--
+	}
+	if n.out[l]--; n.out[l] <= 0 {
+		delete(n.out, l)
+	}
+	r := driver.Result{Began: true, Done: true, Facts: facts}
+	switch {
+	case write && n != n.slice.primary:
+		r.Done, r.Err = false, &pgwire.Error{Severity: "ERROR", Code: "25006", Message: "read-only"}
+	case write:
+		n.slice.commit(q)
+		r.Facts = n.facts()
+	}
+	l.reply(r)
+}
+
+// commit adds a record to the log and settles when each replica will have replayed it.
+func (s *slice) commit(q *request) {
+	w := s.w
+	s.lsn += 64
+	s.commits = append(s.commits, commit{s.lsn, w.now})
+	if q.ran {
+		w.broken("request %d ran twice", q.id)
+	}
+	q.ran = true
+	for _, n := range s.nodes {
+		if n == s.primary || n.down {
+			continue
+		}
+		n.free = max(n.free, w.now+w.cfg.Ship) + w.cfg.Apply
+		n.applied = append(n.applied, commit{s.lsn, n.free})
+		if len(n.applied) > 4096 {
+			n.applied = append(n.applied[:0:0], n.applied[len(n.applied)-2048:]...)
+		}
+	}
+}
+
+// staleBy tells whether a place lacks a commit from before a time.
+func (s *slice) staleBy(at position.Position, before time.Duration) bool {
+	i := sort.Search(len(s.commits), func(i int) bool { return s.commits[i].lsn > at.LSN })
+	return i < len(s.commits) && s.commits[i].at < before
+}
+
+// crashes lets primaries die, others take over, and the dead come back as replicas that have caught up.
+func (w *World) crashes() {
+	rng := w.stream("crashes")
+	for range w.cfg.Crashes {
+		s := w.slices[rng.IntN(len(w.slices))]
+		w.at(start+time.Duration((0.1+0.6*rng.Float64())*float64(w.cfg.Length)), func() {
+			old := s.primary
+			if old.down {
+				return
+			}
+			old.die()
+			w.at(w.now+w.cfg.Elect, s.promote)
+			w.at(w.now+w.cfg.Elect+w.cfg.Down, func() {
+				old.down, old.timeline = false, s.timeline
+				old.applied, old.free = []commit{{s.lsn, w.now}}, w.now
+			})
+		})
+	}
+}
+
+func (n *node) die() {
+	n.down, n.busy, n.line = true, 0, nil
+	n.epoch++
+	links := make([]*link, 0, len(n.links))
+	for l := range n.links {
+		links = append(links, l)
+	}
+	sort.Slice(links, func(i, j int) bool {
+		return links[i].host.number < links[j].host.number || links[i].host == links[j].host && links[i].id < links[j].id
+	})
+	for _, l := range links {
+		l.cut(n.out[l] > 0)
+	}
+	n.links, n.out = map[*link]bool{}, map[*link]int{}
+}
+
+// promote makes the replica that has replayed most the primary. What it lacks is lost.
+func (s *slice) promote() {
+	var best *node
+	for _, n := range s.nodes {
+		if !n.down && n != s.primary && (best == nil || n.stands().LSN > best.stands().LSN) {
+			best = n
+		}
+	}
+	if best == nil {
+		return
+	}
+	at := best.stands().LSN
+	s.timeline++
+	s.primary, s.lsn = best, at
+	for len(s.commits) > 0 && s.commits[len(s.commits)-1].lsn > at {
+		s.commits = s.commits[:len(s.commits)-1]
+	}
+	for _, n := range s.nodes {
+		n.timeline = s.timeline
+		for len(n.applied) > 0 && n.applied[len(n.applied)-1].lsn > at {
+			n.applied = n.applied[:len(n.applied)-1]
+		}
+		if len(n.applied) == 0 {
+			n.applied = []commit{{64, start}}
+		}
+	}
+	s.w.result.Promotions++
+}
--- /dev/null
+++ b/lab/world/world.go
@@ -0,0 +1,258 @@
+// Package world plays drivers, db nodes and clients in simulated time: the engine of package driver as it is, the
+// module in it as it is, and models of nodes, logs and ways between them in the place of sockets. The same seed
+// gives the same run to the byte. One source of randomness for each part, named, so that a trouble added in one
+// place does not reshuffle the rest.
+package world
+
+import (
+	"container/heap"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"umberladder/balance"
+	"umberladder/driver"
+	"umberladder/position"
+	"umberladder/token"
+)
+
+// Config is what a world is made of.
+type Config struct {
+	Seed    uint64
+	Drivers int
+	Slices  int
+	Members int     // nodes of a slice, the primary among them
+	Rate    float64 // requests a second of all clients
+	Length  time.Duration
+	Cores   int
+	Work    time.Duration // mean of a request's work
+	Spread  float64       // standard deviation of its logarithm
+	Way     time.Duration // between driver and node, one way
+	Ship    time.Duration // until a replica has a record
+	Apply   time.Duration // to replay one
+	Engine  driver.Config // Classes in it are drawn by Shares
+	Shares  []float64     // of each class
+	Crashes int           // primaries that die, each replaced after Elect, back after Down
+	Elect   time.Duration
+	Down    time.Duration
+}
+
+// Result is what a run came to.
+type Result struct {
+	Requests, Served, Refused, Failed int
+	InTarget                          int // served within the class's target
+	AtPrimary                         int // reads that the primary served
+	Attempts                          int
+	Polls                             int
+	Events                            int // of all engines
+	Steps                             int
+	Promotions                        int
+	Broken                            []string // rules, one line each
+	Digest                            uint64   // of every answer in order
+}
+
+// event is something that will happen.
+type event struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*q = old[:len(old)-1]
+	return e
+}
+
+// World is a run under way.
+type World struct {
+	cfg     Config
+	now     time.Duration
+	seq     uint64
+	queue   queue
+	drivers []*host
+	slices  []*slice
+	nodes   map[string]*node
+	result  Result
+	digest  uint64
+	lastReq driver.RequestID
+	open    map[driver.RequestID]*request
+}
+
+// start is the engines' time at the beginning: far from zero, which is no time to the module.
+const start = 1000 * time.Hour
+
+// stream is a source of randomness of its own for each name.
+func (w *World) stream(name string) *rand.Rand {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return rand.New(rand.NewPCG(w.cfg.Seed, h.Sum64()))
+}
+
+// at makes something happen at a time, not before now.
+func (w *World) at(when time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{max(when, w.now), w.seq, do})
+}
+
+// Run plays a world to its end.
+func Run(cfg Config) (*Result, error) {
+	w := &World{cfg: cfg, now: start, nodes: map[string]*node{}, open: map[driver.RequestID]*request{}}
+	w.build()
+	for d := range cfg.Drivers {
+		h, err := w.newHost(d)
+		if err != nil {
+			return nil, err
+		}
+		w.drivers = append(w.drivers, h)
+	}
+	w.arrivals()
+	w.crashes()
+	end := start + cfg.Length + 10*time.Second
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	for id := range w.open {
+		w.broken("request %d was never answered", id)
+	}
+	w.result.Digest = w.digest
+	return &w.result, nil
+}
+
+func (w *World) broken(format string, args ...any) {
+	if len(w.result.Broken) < 100 {
+		w.result.Broken = append(w.result.Broken, fmt.Sprintf(format, args...))
+	}
+}
+
+// note folds an answer into the digest.
+func (w *World) note(values ...uint64) {
+	for _, v := range values {
+		w.digest = (w.digest ^ v) * 0x9e3779b97f4a7c15
+		w.digest ^= w.digest >> 29
+	}
+}
+
+// request is one request under way.
+type request struct {
+	id       driver.RequestID
+	class    int
+	slice    *slice
+	session  *session
+	arrived  time.Duration
+	deadline time.Duration
+	need     position.Position // of its session
+	sent     int
+	ran      bool
+}
+
+// session is a reader account with what it has seen of each slice.
+type session struct{ tok token.Token }
+
+// arrivals draws requests, driver by driver, ahead of time only by one each.
+func (w *World) arrivals() {
+	per := w.cfg.Rate / float64(w.cfg.Drivers)
+	for d, h := range w.drivers {
+		rng := w.stream(fmt.Sprintf("arrivals %d", d))
+		sessions := make([]session, 50)
+		var next func()
+		next = func() {
+			if w.now >= start+w.cfg.Length {
+				return
+			}
+			w.arrive(h, rng, &sessions[rng.IntN(len(sessions))])
+			w.at(w.now+time.Duration(rng.ExpFloat64()/per*float64(time.Second)), next)
+		}
+		w.at(start+time.Second+time.Duration(rng.Float64()*float64(time.Second)), next)
+	}
+}
+
+func (w *World) arrive(h *host, rng *rand.Rand, s *session) {
+	draw, class := rng.Float64(), 0
+	for ; class < len(w.cfg.Shares)-1 && draw >= w.cfg.Shares[class]; class++ {
+		draw -= w.cfg.Shares[class]
+	}
+	c := &w.cfg.Engine.Router.Classes[class]
+	w.lastReq++
+	sl := w.slices[rng.IntN(len(w.slices))]
+	q := &request{id: w.lastReq, class: class, slice: sl, session: s, arrived: w.now, deadline: w.now + c.Deadline}
+	ask := driver.Ask{Class: class, Slice: sl.name, Deadline: q.deadline}
+	if c.Need == balance.NeedSession {
+		if at, ok := s.tok.At(sl.name); ok {
+			q.need, ask.Token = at, token.Token{}.With(sl.name, at)
+		}
+	}
+	w.open[q.id] = q
+	w.result.Requests++
+	h.take(driver.Event{Kind: driver.EventRequest, Request: q.id, Ask: ask})
+}
+
+// answered judges a final answer.
+func (w *World) answered(a *driver.Answer, id driver.RequestID) {
+	q := w.open[id]
+	if q == nil {
+		w.broken("request %d has a second final answer", id)
+		return
+	}
+	delete(w.open, id)
+	w.note(uint64(id), uint64(a.Status), uint64(w.now), uint64(a.Attempts))
+	if w.now > q.deadline {
+		w.broken("request %d was answered %v after its client gave up", id, w.now-q.deadline)
+	}
+	w.result.Attempts += a.Attempts
+	switch a.Status {
+	case driver.Refused:
+		w.result.Refused++
+		if q.ran && w.cfg.Engine.Router.Classes[q.class].Effect == balance.Unsafe {
+			w.broken("request %d ran and was refused", id)
+		}
+		return
+	case driver.Failed:
+		w.result.Failed++
+		return
+	}
+	w.served(a, q)
+}
+
+func (w *World) served(a *driver.Answer, q *request) {
+	c := &w.cfg.Engine.Router.Classes[q.class]
+	w.result.Served++
+	if w.now-q.arrived <= c.Target {
+		w.result.InTarget++
+	}
+	if c.Need == balance.NeedWrite {
+		at, _ := a.Token.At(q.slice.name)
+		q.session.tok = q.session.tok.With(q.slice.name, at)
+		return
+	}
+	if !a.Facts.Replica {
+		w.result.AtPrimary++
+	}
+	if c.Need == balance.NeedSession && !q.need.IsZero() && q.need.LSN != position.Unknown && !a.Facts.Position.Covers(q.need) {
+		w.broken("request %d was served from %v, its token asked for %v", q.id, a.Facts.Position, q.need)
+	}
+	if c.Need == balance.NeedBounded && a.Facts.Replica && q.slice.staleBy(a.Facts.Position, w.now-c.Bound-c.Deadline) {
+		w.broken("request %d was served from %v, which lacks what is older than its bound", q.id, a.Facts.Position)
+	}
+}
+
+// lognormal draws times of work with the mean given.
+func lognormal(mean time.Duration, spread float64, rng *rand.Rand) func() time.Duration {
+	d := distuv.LogNormal{Mu: -spread * spread / 2, Sigma: spread, Src: rng}
+	return func() time.Duration { return time.Duration(float64(mean) * d.Rand()) }
+}
--- /dev/null
+++ b/server/idle_test.go
@@ -0,0 +1,97 @@
+package server
+
+import (
+	"context"
+	"net"
+	"runtime"
+	"sync"
+	"testing"
+
+	"umberladder/driver"
+	"umberladder/pgwire"
+)
+
+// greeter lets drivers in and then reads on; its own memory for a connection is measured beside.
+func greeter(l net.Listener, all *sync.WaitGroup) {
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		all.Go(func() {
+			defer nc.Close()
+			r := pgwire.NewReader(nc, 0)
+			if _, err := r.NextStartup(); err != nil {
+				return
+			}
+			nc.Write(pgwire.AppendReadyForQuery(pgwire.AppendAuthOK(nil), pgwire.TxIdle))
+			for {
+				typ, _, err := r.Next()
+				if err != nil {
+					return
+				}
+				if typ == pgwire.MsgSync {
+					nc.Write(pgwire.AppendReadyForQuery(nil, pgwire.TxIdle))
+				}
+			}
+		})
+	}
+}
+
+func memory() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// BenchmarkIdleConnection reports the memory of an idle connection to a db node, heap and stack, the peer's
+// part taken off.
+//
+//	go test ./server -run '^$' -bench IdleConnection -benchtime 1x
+func BenchmarkIdleConnection(b *testing.B) {
+	if b.N > 5 {
+		b.Skip("use -benchtime 1x")
+	}
+	const n = 500
+	for range b.N {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		var peers, conns sync.WaitGroup
+		go greeter(l, &peers)
+		before := memory()
+		plain := make([]net.Conn, n)
+		for i := range plain {
+			nc, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			nc.Write(pgwire.AppendStartup(nil, map[string]string{"user": "u"}))
+			pgwire.NewReader(nc, 0).Next()
+			plain[i] = nc
+		}
+		peer := memory() - before
+		before = memory()
+		ctx, cancel := context.WithCancel(b.Context())
+		in := newInbox()
+		for i := range n {
+			c := newConn(ctx, driver.ConnID(i+1), l.Addr().String(), in, func(string, ...any) {})
+			conns.Go(func() { c.run(login{user: "u", database: "d"}) })
+		}
+		for up := 0; up < n; {
+			<-in.ready
+			up += len(in.drain(nil))
+		}
+		b.ReportMetric((memory()-before-peer)/n, "B/conn")
+		cancel()
+		conns.Wait()
+		for _, nc := range plain {
+			nc.Close()
+		}
+		l.Close()
+		peers.Wait()
+	}
+}
