--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"umberladder/internal/words"
 )
 
 // State is what the list says of a node.
@@ -300,40 +302,7 @@
 	return ""
 }
 
-func nearest(text string, known []string) string {
-	best, least := "", 3
-	for _, k := range known {
-		if d := distance(strings.ToLower(text), strings.ToLower(k)); d < least && d < len(k) {
-			best, least = k, d
-		}
-	}
-	return best
-}
+func nearest(text string, known []string) string { return words.Nearest(text, known, 2) }
 
 // slip tells whether a text is one or two letters away from a known word, as mistyped ones are.
 func slip(text string, known []string) bool { return nearest(text, known) != "" }
-
-// distance is the number of insertions, deletions, substitutions and swaps of neighbours between two words.
-func distance(a, b string) int {
-	d := make([][]int, len(a)+1)
-	for i := range d {
-		d[i] = make([]int, len(b)+1)
-		d[i][0] = i
-	}
-	for j := range d[0] {
-		d[0][j] = j
-	}
-	for i := 1; i <= len(a); i++ {
-		for j := 1; j <= len(b); j++ {
-			cost := 1
-			if a[i-1] == b[j-1] {
-				cost = 0
-			}
-			d[i][j] = min(d[i-1][j]+1, d[i][j-1]+1, d[i-1][j-1]+cost)
-			if i > 1 && j > 1 && a[i-1] == b[j-2] && a[i-2] == b[j-1] {
-				d[i][j] = min(d[i][j], d[i-2][j-2]+1)
-			}
-		}
-	}
-	return d[len(a)][len(b)]
-}
--- a/lab/badday.go
+++ b/lab/badday.go
@@ -31,6 +31,14 @@
 	locks    map[*standin.Group]*sync.Mutex // one change of primary at a time
 }
 
+func newDay(ctx context.Context, f *Fleet, rng *rand.Rand) *day {
+	d := &day{fleet: f, book: &Book{}, rng: rng, ctx: ctx, faults: map[string]int{}, locks: map[*standin.Group]*sync.Mutex{}}
+	for _, g := range f.Groups {
+		d.locks[g] = &sync.Mutex{}
+	}
+	return d
+}
+
 func (d *day) struck(name string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -86,10 +94,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	stalls := stallMeter(ctx)
-	d := &day{fleet: f, book: &Book{}, rng: rng, ctx: ctx, faults: map[string]int{}, locks: map[*standin.Group]*sync.Mutex{}}
-	for _, g := range f.Groups {
-		d.locks[g] = &sync.Mutex{}
-	}
+	d := newDay(ctx, f, rng)
 	var clients sync.WaitGroup
 	for i := range 40 {
 		s := newSession(f, d.book, i, 0.03)
--- a/lab/chain.go
+++ b/lab/chain.go
@@ -48,7 +48,7 @@
 
 // chain is client, web tier, page cache, comment service and drivers, each on a socket of its own.
 type chain struct {
-	day
+	*day
 	comments *httptest.Server
 	cache    *httptest.Server
 	web      *httptest.Server
@@ -89,11 +89,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	stalls := stallMeter(ctx)
-	c := &chain{day: day{fleet: f, book: &Book{}, rng: rand.New(rand.NewPCG(seed, 0x636861)), ctx: ctx, faults: map[string]int{},
-		locks: map[*standin.Group]*sync.Mutex{}}}
-	for _, g := range f.Groups {
-		c.locks[g] = &sync.Mutex{}
-	}
+	c := &chain{day: newDay(ctx, f, rand.New(rand.NewPCG(seed, 0x636861)))}
 	if err := c.serve(); err != nil {
 		return nil, err
 	}
@@ -121,7 +117,7 @@
 	rules := c.judge()
 	closing := f.Close()
 	r := &Report{Name: "chain", Seed: seed, Slack: slack, Rules: rules}
-	r.fill(&c.day, before, closing)
+	r.fill(c.day, before, closing)
 	r.Counts = map[Verdict]int{Served: int(c.steps.Load())}
 	r.Missing = nil
 	st := c.pages.Stats()
--- a/lab/demo.go
+++ b/lab/demo.go
@@ -8,8 +8,6 @@
 	"runtime"
 	"sync"
 	"time"
-
-	"umberladder/standin"
 )
 
 // Demo shows one driver, four stand-in nodes and twenty clients through the death of a primary, and tells
@@ -24,8 +22,7 @@
 	defer end()
 	stalls := stallMeter(ctx)
 	g := f.Groups[0]
-	d := &day{fleet: f, book: &Book{}, rng: rand.New(rand.NewPCG(1, 1)), ctx: ctx, faults: map[string]int{},
-		locks: map[*standin.Group]*sync.Mutex{g: {}}}
+	d := newDay(ctx, f, rand.New(rand.NewPCG(1, 1)))
 	begin := time.Now()
 	say := func(format string, args ...any) {
 		fmt.Fprintf(w, "%5.1f s  %s\n", time.Since(begin).Seconds(), fmt.Sprintf(format, args...))
--- a/lab/inventory.go
+++ b/lab/inventory.go
@@ -31,11 +31,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	stalls := stallMeter(ctx)
-	d := &day{fleet: f, book: &Book{}, rng: rand.New(rand.NewPCG(seed, 0x696e76)), ctx: ctx, faults: map[string]int{},
-		locks: map[*standin.Group]*sync.Mutex{}}
-	for _, g := range f.Groups {
-		d.locks[g] = &sync.Mutex{}
-	}
+	d := newDay(ctx, f, rand.New(rand.NewPCG(seed, 0x696e76)))
 	var clients sync.WaitGroup
 	for i := range 36 {
 		s := newSession(f, d.book, i, 0.02)
--- a/lab/replay.go
+++ b/lab/replay.go
@@ -52,7 +52,7 @@
 	r := &Report{Name: fmt.Sprintf("%s day of %s, %d of %d nodes, %d of %d drivers", file.Kind, file.Site, len(p.scaled.servers),
 		len(file.Servers), len(p.fleet.Drivers), len(file.Balancers)), Seed: seed, Slack: slack,
 		Rules: Judge(p.fleet, p.book.Calls(), slack)}
-	r.fill(&p.day, before, closing)
+	r.fill(p.day, before, closing)
 	r.Missing = nil // what a day holds is up to whoever drew it
 	if r.Counts[Served] == 0 {
 		r.Missing = append(r.Missing, "no request served")
@@ -68,7 +68,7 @@
 
 // play is a replay under way.
 type play struct {
-	day
+	*day
 	file   *dayFile
 	scaled *shrink
 	rate   float64      // requests a second of all clients
@@ -99,10 +99,7 @@
 			s.nodes[number] = n
 		}
 	}
-	p.day = day{fleet: f, book: &Book{}, rng: rand.New(rand.NewPCG(seed, 7)), faults: map[string]int{}, locks: map[*standin.Group]*sync.Mutex{}}
-	for _, g := range f.Groups {
-		p.locks[g] = &sync.Mutex{}
-	}
+	p.day = newDay(context.Background(), f, rand.New(rand.NewPCG(seed, 7)))
 	return p, nil
 }
 
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -20,6 +20,8 @@
 	"slices"
 	"strings"
 	"unicode/utf8"
+
+	"umberladder/internal/words"
 )
 
 // Problem is one mistake in a settings file.
@@ -188,32 +190,4 @@
 }
 
 // nearest is the known name that a mistyped one was most likely meant to be, "" if none is near.
-func nearest(name string, known []string) string {
-	best, least := "", 1+len(name)/3
-	for _, k := range known {
-		if d := distance(name, k); d <= least && (best == "" || d < least) {
-			best, least = k, d
-		}
-	}
-	return best
-}
-
-// distance is the number of insertions, deletions and substitutions between two words.
-func distance(a, b string) int {
-	row := make([]int, len(b)+1)
-	for j := range row {
-		row[j] = j
-	}
-	for i := range len(a) {
-		diagonal := row[0]
-		row[0] = i + 1
-		for j := range len(b) {
-			cost := diagonal
-			if a[i] != b[j] {
-				cost = 1 + min(diagonal, row[j], row[j+1])
-			}
-			diagonal, row[j+1] = row[j+1], cost
-		}
-	}
-	return row[len(b)]
-}
+func nearest(name string, known []string) string { return words.Nearest(name, known, 1+len(name)/3) }
