A lost token beside one that is there: both count

Change: the token's own place is checked beside the present, and a place ahead of the primary is refused.

--- a/driver/engine.go
+++ b/driver/engine.go
@@ -93,6 +93,7 @@
 	class    *balance.Class
 	slice    *slice
 	need     position.Position // what a session read must see; zero for nothing
+	told     position.Position // what its token alone asks for; need may be the present in its place
 	attempts []*attempt
 	out      int
 	done     bool // it has its final answer, or its client left
@@ -280,6 +281,7 @@
 		at := e.sessions.needs(q.ask.Slice, q.ask.Session)
 		need, told = need.Join(at), told || !at.IsZero()
 	}
+	asked := need
 	if q.class.Need == balance.NeedSession && (!told || q.ask.Lost) {
 		switch policy := e.tokenless(q.ask.Class); {
 		case policy == TokenlessRefuse:
@@ -288,10 +290,10 @@
 			need = position.Present
 		}
 	}
-	if q.class.Need != balance.NeedWrite && q.slice.clock.Lost(need) {
+	if q.class.Need != balance.NeedWrite && q.slice.clock.Lost(asked) {
 		return CauseTokenLost
 	}
-	q.need = need
+	q.need, q.told = need, asked
 	return CauseNone
 }
 
@@ -319,11 +321,11 @@
 // token is ahead of the whole history, or stands for what a promotion left out.
 func (q *request) hopeless(f Facts) Cause {
 	switch {
-	case q.done || !f.Known || f.Replica || q.need.LSN == position.Unknown || q.slice.superseded(f):
+	case q.done || !f.Known || f.Replica || q.told.LSN == position.Unknown || q.slice.superseded(f):
 		return CauseNone
-	case q.slice.clock.Lost(q.need):
+	case q.slice.clock.Lost(q.told):
 		return CauseTokenLost
-	case f.Position.Timeline == q.need.Timeline && f.Position.LSN < q.need.LSN:
+	case f.Position.Timeline == q.told.Timeline && f.Position.LSN < q.told.LSN:
 		return CauseTokenAhead
 	}
 	return CauseNone
--- a/driver/engine_test.go
+++ b/driver/engine_test.go
@@ -512,6 +512,13 @@
 	if a := r.answer(ahead); a.Status != Refused || a.Cause != CauseTokenAhead {
 		t.Errorf("ahead: %+v", a)
 	}
+	r.step(Event{Kind: EventRequest, Request: 700, Ask: Ask{Class: classOwn, Slice: "news", Lost: true,
+		Token: token.Token{}.With("news", at(2, 5000)), Deadline: r.now + time.Second}})
+	r.run(30 * ms)
+	r.reply(r.sent(700))
+	if a := r.answer(700); a.Status != Refused || a.Cause != CauseTokenAhead {
+		t.Errorf("ahead, and another lost: %+v", a)
+	}
 	if a := r.answer(r.ask(classOwn, token.Token{}.With("olds", at(1, 5)))); a.Cause != CauseForeign {
 		t.Errorf("foreign: %+v", a)
 	}
--- a/driver/facts.go
+++ b/driver/facts.go
@@ -164,7 +164,7 @@
 // fits tells whether a read's answer is as new as its class and token ask. The facts are those asked for
 // before the read on the same connection, so that what it saw is at least that new.
 func (e *Engine) fits(q *request, f Facts, sentAt time.Duration) bool {
-	if !f.Known || q.slice.superseded(f) || !q.slice.reaches(f, q.need) {
+	if !f.Known || q.slice.superseded(f) || !q.slice.reaches(f, q.need) || !q.slice.reaches(f, q.told) {
 		return false
 	}
 	switch q.class.Need {
