lab sim: a fleet of engines in simulated time from the command line

Cause: the world had no command, and its site stood in a test. Change: lab sim with drivers, slices, rate, length, crashes and seed; ends with rules broken: N.

--- /dev/null
+++ b/cmd/umberladder/sim.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"umberladder/lab/world"
+)
+
+// simCommand plays a fleet in simulated time. It is the beginning of the laboratory at large size.
+func simCommand() *cobra.Command {
+	var drivers, slices, members, crashes int
+	var rate float64
+	var length time.Duration
+	var seed uint64
+	cmd := &cobra.Command{
+		Use:   "sim",
+		Short: "Drivers' engines before modelled nodes in simulated time; figures are the model's",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg := world.Newsroom(drivers, slices, members, rate, length)
+			cfg.Seed, cfg.Crashes = seed, crashes
+			begin := time.Now()
+			r, err := world.Run(cfg)
+			if err != nil {
+				return err
+			}
+			w := cmd.OutOrStdout()
+			fmt.Fprintf(w, "simulated: %d drivers, %d nodes in %d slices, %.0f requests a second for %v, seed %d\n", drivers, slices*members, slices, rate, length, seed)
+			fmt.Fprintf(w, "  requests %d, served %d (%d in target, %d reads at the primary), refused %d, failed %d\n", r.Requests, r.Served, r.InTarget, r.AtPrimary, r.Refused, r.Failed)
+			fmt.Fprintf(w, "  attempts %d, polls %d, events %d in %d steps, promotions %d\n", r.Attempts, r.Polls, r.Events, r.Steps, r.Promotions)
+			fmt.Fprintf(w, "  digest %016x, %v of this machine's time\n", r.Digest, time.Since(begin).Round(time.Millisecond))
+			broken := len(r.Broken)
+			for _, b := range r.Broken {
+				fmt.Fprintln(w, "  "+b)
+			}
+			if r.Served == 0 || crashes > 0 && r.Promotions == 0 {
+				fmt.Fprintln(w, "  not shown: nothing was served, or no crash led to a promotion")
+				broken++
+			}
+			fmt.Fprintf(w, "rules broken: %d\n", broken)
+			if broken > 0 {
+				return errQuiet
+			}
+			return nil
+		},
+	}
+	f := cmd.Flags()
+	f.IntVar(&drivers, "drivers", 5, "drivers")
+	f.IntVar(&slices, "slices", 10, "slices")
+	f.IntVar(&members, "members", 6, "nodes of a slice")
+	f.Float64Var(&rate, "rate", 500, "requests a second of all clients")
+	f.DurationVar(&length, "length", 10*time.Second, "simulated time")
+	f.IntVar(&crashes, "crashes", 2, "primaries that die")
+	f.Uint64Var(&seed, "seed", 1, "settles all that is drawn")
+	return cmd
+}
--- a/lab/world/world_test.go
+++ b/lab/world/world_test.go
@@ -3,25 +3,12 @@
 import (
 	"testing"
 	"time"
-
-	"umberladder/balance"
-	"umberladder/driver"
 )
 
-const ms = time.Millisecond
-
-// Site is a newsroom of so many drivers and slices.
 func site(drivers, slices int, rate float64, length time.Duration) Config {
-	return Config{Seed: 7, Drivers: drivers, Slices: slices, Members: 6, Rate: rate, Length: length, Cores: 4, Work: 50 * ms, Spread: 0.7,
-		Way: 500 * time.Microsecond, Ship: 6 * ms, Apply: 3 * ms, Shares: []float64{0.46, 0.40, 0.14}, Elect: 2 * time.Second, Down: 5 * time.Second,
-		Engine: driver.Config{Halls: []string{"a"}, MaxOpen: 20000, PoolSize: 64, IdleClose: 30 * time.Second, Linger: 10 * time.Second,
-			PollTimeout: 250 * ms, ClockAge: 50 * ms, AnswerMargin: 20 * ms, SessionBytes: 1 << 20,
-			Router: balance.Config{Routers: drivers, Round: ms, Positions: true, DrainGrace: 500 * ms, AnswerSlack: 20 * ms, ColdFrom: 0.2,
-				RampTime: 10 * time.Second, TipMultiple: 3, Fall: time.Second, Cancel: true, Probing: true, TryLimit: 10, RetryAfter: true,
-				MaxRetryAfter: time.Second, DialTimeout: 250 * ms, Classes: []balance.Class{
-					{Name: "article-read", Need: balance.NeedBounded, Bound: 200 * ms, Target: 400 * ms, Deadline: time.Second, Worth: 2},
-					{Name: "own-read", Need: balance.NeedSession, Target: 250 * ms, Deadline: time.Second, Worth: 1},
-					{Name: "write", Effect: balance.Unsafe, Need: balance.NeedWrite, Target: 500 * ms, Deadline: 5 * time.Second, Worth: 6, LateWorth: 0.5}}}}}
+	cfg := Newsroom(drivers, slices, 6, rate, length)
+	cfg.Seed = 7
+	return cfg
 }
 
 // TestSameSeedSameRun: to the byte, and another seed gives another run.
