--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -167,3 +170,32 @@
 		}
 	}
 }
+
+// TestTwoDriversBeforeOneColdNode: a replica starts anew under load from two drivers that don't speak to each
+// other; together they stay under what would push it over, and it does get work.
+func TestTwoDriversBeforeOneColdNode(t *testing.T) {
+	f, err := NewFleet(Spec{Slices: 1, Members: 3, Drivers: 2, Node: SmallNode, Seed: 4})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(t.Context())
+	d := newDay(ctx, f, rand.New(rand.NewPCG(4, 4)))
+	var clients sync.WaitGroup
+	for i := range 24 {
+		s := newSession(f, d.book, i, 0)
+		clients.Go(func() { s.live(ctx, 40*time.Millisecond) })
+	}
+	time.Sleep(500 * time.Millisecond)
+	cold := f.Groups[0].Nodes()[2]
+	cold.Die()
+	time.Sleep(300 * time.Millisecond)
+	d.restart(cold)
+	time.Sleep(3 * time.Second)
+	end()
+	clients.Wait()
+	f.Close()
+	r := Judge(f, d.book.Calls(), 50*time.Millisecond)[3]
+	if len(r.Broken) > 0 || r.Chances < 10 {
+		t.Errorf("%+v", r)
+	}
+}
