Engine test: a lingering connection is closed by the shell too

Change: the test looks for the command. Measured: it fails with the close taken out, passes with it.

--- a/driver/engine_test.go
+++ b/driver/engine_test.go
@@ -147,8 +147,11 @@
 func TestLingerEnds(t *testing.T) {
 	r := newRig(t, testConfig(), fleetFacts())
 	w := r.ask(classWrite, token.Token{})
-	r.sent(w)
+	c := r.sent(w)
 	r.run(8 * time.Second)
+	if !r.closed[c.Conn] {
+		t.Error("the shell was not told to close it")
+	}
 	if n := r.e.byKey[nodeKey{"p", "p:1", "news", 0}].busy; n != 0 {
 		t.Errorf("%d connections still busy", n)
 	}
--- a/driver/rig_test.go
+++ b/driver/rig_test.go
@@ -63,6 +63,7 @@
 	lastReq RequestID
 	pending []Event
 	stopped bool
+	closed  map[ConnID]bool // that the shell was told to close
 }
 
 func newRig(t *testing.T, cfg Config, nodes map[string]Facts) *rig {
@@ -71,7 +72,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{t: t, e: e, now: time.Hour, nodes: map[string]*fakeNode{}, connAt: map[ConnID]string{}, answers: map[RequestID][]Answer{}}
+	r := &rig{t: t, e: e, now: time.Hour, nodes: map[string]*fakeNode{}, connAt: map[ConnID]string{}, answers: map[RequestID][]Answer{}, closed: map[ConnID]bool{}}
 	var list []Node
 	for _, name := range []string{"p", "r1", "r2"} {
 		if f, ok := nodes[name]; ok {
@@ -121,6 +122,8 @@
 			if n := len(r.answers[c.Request]); n > 1 {
 				r.t.Errorf("request %d has %d final answers", c.Request, n)
 			}
+		case CommandClose:
+			r.closed[c.Conn] = true
 		case CommandStopped:
 			r.stopped = true
 		}
