--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -270,7 +270,7 @@
 
 // whole checks what only all nodes together tell, and returns the set.
 func (c *collector) whole() *Set {
-	byName, byAddress, slicesSeen := map[string]*Node{}, map[string]*Node{}, map[string]int{}
+	byName, byAddress := map[string]*Node{}, map[string]*Node{}
 	for i := range c.nodes {
 		n := &c.nodes[i]
 		if first := byName[n.Name]; first != nil && n.Name != "" {
@@ -284,7 +284,6 @@
 		} else {
 			byAddress[key] = n
 		}
-		slicesSeen[n.Slice]++
 	}
 	if len(c.nodes) > maxNodes {
 		c.problem(c.nodes[maxNodes].Origin, "over %d nodes", maxNodes)
--- a/lab/nodefile.go
+++ b/lab/nodefile.go
@@ -108,26 +108,20 @@
 
 // spoil puts something else in the file's place for a while.
 func (f *nodeFile) spoil(what func(text string) string, wait func()) {
-	f.mu.Lock()
-	f.holds++
-	f.gen++
-	f.rename(what(f.text))
-	f.mu.Unlock()
-	wait()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.holds--; f.holds == 0 {
-		f.rename(f.text)
-		f.landed()
-	}
+	f.hold(func() { f.rename(what(f.text)) }, wait)
 }
 
 // vanish takes the file away for a while.
 func (f *nodeFile) vanish(wait func()) {
+	f.hold(func() { os.Remove(f.path) }, wait)
+}
+
+// hold does something to the file, and after the wait puts it right again, unless somebody else holds it still.
+func (f *nodeFile) hold(do, wait func()) {
 	f.mu.Lock()
 	f.holds++
 	f.gen++
-	os.Remove(f.path)
+	do()
 	f.mu.Unlock()
 	wait()
 	f.mu.Lock()
--- a/pgwire/backend.go
+++ b/pgwire/backend.go
@@ -1,10 +1,6 @@
 package pgwire
 
-import (
-	"fmt"
-	"strconv"
-	"strings"
-)
+import "fmt"
 
 // AppendAuthOK appends the end of authentication.
 func AppendAuthOK(b []byte) []byte { return appendAuth(b, AuthOK, nil) }
@@ -258,12 +254,3 @@
 	}
 	return types, c.end()
 }
-
-// TagRows tells how many rows a command tag names ("INSERT 0 5": 5), 0 if it names none.
-func TagRows(tag string) uint64 {
-	n, err := strconv.ParseUint(tag[strings.LastIndexByte(tag, ' ')+1:], 10, 63)
-	if err != nil {
-		return 0
-	}
-	return n
-}
