--- a/cmd/umberladder/main.go
+++ b/cmd/umberladder/main.go
@@ -37,7 +37,7 @@
 		Version:       version(),
 	}
 	root.AddCommand(serveCommand(), checkCommand(), configCommand(), queryCommand(), tokenCommand(), topologyCommand(), exploreCommand(),
-		demoCommand(), labCommand(), loadCommand(), inventoryCommand(), &cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		demoCommand(), platformCommand(), labCommand(), loadCommand(), inventoryCommand(), &cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), version()) }})
 	return root
 }
--- a/driver/catchup.go
+++ b/driver/catchup.go
@@ -38,7 +38,7 @@
 	}
 	n.pause = pause
 	poll := n.polls
-	e.timers.set(e.now+pause, func(time.Duration) {
+	e.timers.Set(e.now+pause, func(time.Duration) {
 		if n.polled && n.polls == poll && !e.quiet(n) && n.prober == nil && !n.waitsToPoll() {
 			n.prober = e.dial(n, true) // it was lost meanwhile
 		}
--- a/driver/conns.go
+++ b/driver/conns.go
@@ -158,7 +158,7 @@
 		end = min(end, e.now+act.After)
 	}
 	a.until = end
-	e.timers.set(end, func(time.Duration) { e.timeout(a) })
+	e.timers.Set(end, func(time.Duration) { e.timeout(a) })
 	if k := len(n.idle); k > 0 {
 		c := n.idle[k-1]
 		n.idle = n.idle[:k-1]
@@ -175,7 +175,7 @@
 		e.ended(a, balance.Event{Outcome: balance.OutcomeFull})
 		return
 	}
-	e.timers.set(min(end, e.now+e.cfg.Router.DialTimeout), func(time.Duration) {
+	e.timers.Set(min(end, e.now+e.cfg.Router.DialTimeout), func(time.Duration) {
 		if a.state == waiting {
 			e.ended(a, balance.Event{Outcome: balance.OutcomeConnectFailed})
 		}
@@ -196,7 +196,7 @@
 	c := &conn{id: e.lastConn, node: n, probes: probes}
 	e.conns[c.id] = c
 	e.cmds = append(e.cmds, Command{Kind: CommandDial, Conn: c.id, Node: n.listed.Name, Address: n.listed.Address})
-	e.timers.set(e.now+e.cfg.Router.DialTimeout, func(time.Duration) {
+	e.timers.Set(e.now+e.cfg.Router.DialTimeout, func(time.Duration) {
 		if c.state == dialing {
 			e.lost(c, true)
 			e.undialed(c, &DialError{Err: fmt.Errorf("no connection within %v", e.cfg.Router.DialTimeout)})
@@ -278,7 +278,7 @@
 
 // reapAt closes a connection that by then was not used for the idle time, or looks again later.
 func (e *Engine) reapAt(c *conn, at time.Duration) {
-	e.timers.set(at, func(time.Duration) {
+	e.timers.Set(at, func(time.Duration) {
 		keep := e.idleFor(c.node)
 		switch due := c.usedAt + keep; {
 		case c.state == dead:
@@ -375,7 +375,7 @@
 	if e.cfg.CancelWork && a.request.class.Effect == balance.Safe {
 		e.cancel(c)
 	}
-	e.timers.set(e.now+e.cfg.Linger, func(time.Duration) {
+	e.timers.Set(e.now+e.cfg.Linger, func(time.Duration) {
 		if c.state == lingering {
 			e.lost(c, true)
 			e.refill(c.node)
--- a/driver/engine.go
+++ b/driver/engine.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"umberladder/balance"
+	"umberladder/internal/schedule"
 	"umberladder/position"
 	"umberladder/token"
 	"umberladder/topology"
@@ -69,7 +70,7 @@
 	cmds     []Command
 	news     []balance.Event // for the module
 	acts     []balance.Action
-	timers   timers
+	timers   schedule.Timers
 	rng      *rand.Rand
 	life     life
 	requests map[RequestID]*request
@@ -164,7 +165,7 @@
 func (e *Engine) Conns() int { return len(e.conns) }
 
 // Wake is when Step wants to be called even if nothing happens, false for never.
-func (e *Engine) Wake() (time.Duration, bool) { return e.timers.next() }
+func (e *Engine) Wake() (time.Duration, bool) { return e.timers.Next() }
 
 // Step takes what happened since the last call, all at one clock time, and appends the commands in order. The
 // clock must not go back; an earlier time counts as the latest seen. The zero time should lie in the past by
@@ -186,13 +187,13 @@
 	}
 	e.now, e.cmds = max(now, e.now), cmds
 	if !late {
-		e.timers.run(e.now)
+		e.timers.Run(e.now)
 	}
 	for i := range events {
 		e.take(&events[i])
 	}
 	if late {
-		e.timers.run(e.now)
+		e.timers.Run(e.now)
 	}
 	e.route()
 	if e.until > 0 && !e.stopped && e.held == 0 {
@@ -232,7 +233,7 @@
 func (e *Engine) route() {
 	for round := 0; round == 0 || len(e.news) > 0; round++ {
 		if round == mostRounds {
-			e.timers.set(e.now+e.cfg.Router.Round, func(time.Duration) {})
+			e.timers.Set(e.now+e.cfg.Router.Round, func(time.Duration) {})
 			return
 		}
 		news := e.news
@@ -260,7 +261,7 @@
 		e.poll(e.nodes[a.Server])
 	case balance.ActionTimer:
 		token := a.Token
-		e.timers.set(e.now+max(a.After, 0), func(time.Duration) {
+		e.timers.Set(e.now+max(a.After, 0), func(time.Duration) {
 			e.tell(balance.Event{Kind: balance.EventTimer, Token: token})
 		})
 	case balance.ActionSubscribe:
@@ -469,7 +470,7 @@
 		return
 	}
 	e.until = max(until, 1)
-	e.timers.set(until, func(time.Duration) { e.giveUp() })
+	e.timers.Set(until, func(time.Duration) { e.giveUp() })
 }
 
 // giveUp answers what is still held when the time to stop is up.
--- a/driver/facts.go
+++ b/driver/facts.go
@@ -22,7 +22,7 @@
 	n.pollQuiet = !heard || e.now-newest > e.cfg.ClockAge
 	poll, began := n.polls, e.now
 	// Giving up on a poll gives up its connection: an answer to come would be taken for the next one's.
-	e.timers.set(e.now+e.cfg.PollTimeout, func(time.Duration) {
+	e.timers.Set(e.now+e.cfg.PollTimeout, func(time.Duration) {
 		if !n.polled || n.polls != poll {
 			return
 		}
@@ -62,7 +62,7 @@
 		return
 	}
 	at := e.now
-	e.timers.set(e.now+e.cfg.PollTimeout, func(time.Duration) {
+	e.timers.Set(e.now+e.cfg.PollTimeout, func(time.Duration) {
 		if c.state == busy && c.sentAt == at && !n.polled {
 			e.lost(c, true)
 		}
--- a/driver/scarce.go
+++ b/driver/scarce.go
@@ -48,7 +48,7 @@
 func (e *Engine) isFull(n *node) {
 	n.full.pause = min(max(2*n.full.pause, firstFull), longestFull)
 	n.full.until = e.now + n.full.pause
-	e.timers.set(n.full.until, func(time.Duration) { e.refill(n) })
+	e.timers.Set(n.full.until, func(time.Duration) { e.refill(n) })
 }
 
 // hasRoom notes that it took one.
--- a/driver/suspect.go
+++ b/driver/suspect.go
@@ -36,7 +36,7 @@
 	if e.cfg.Router.Routers > 1 {
 		first = time.Duration(e.rng.Float64() * float64(s.doubt.pause))
 	}
-	e.timers.set(e.now+first, func(time.Duration) { e.round(s) })
+	e.timers.Set(e.now+first, func(time.Duration) { e.round(s) })
 }
 
 // round asks every node of a slice that can be asked at once, and sees to the next round.
@@ -53,7 +53,7 @@
 			n.prober = e.dial(n, true)
 		}
 	}
-	e.timers.set(e.now+s.doubt.pause, func(time.Duration) { e.round(s) })
+	e.timers.Set(e.now+s.doubt.pause, func(time.Duration) { e.round(s) })
 	s.doubt.pause = time.Duration(float64(s.doubt.pause) * roundGrow)
 }
 
--- /dev/null
+++ b/internal/sock/sock.go
@@ -0,0 +1,100 @@
+// Package sock reads and writes TCP sockets past package net's own waiting: it never waits to write, and while it
+// waits to read it holds no memory.
+package sock
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+
+	"umberladder/pgwire"
+)
+
+// Socket is a connection with ways that do not wait.
+type Socket struct {
+	net.Conn
+	raw syscall.RawConn // nil for what is no socket of the system
+}
+
+// New makes a Socket of a connection.
+func New(nc net.Conn) *Socket {
+	s := &Socket{Conn: nc}
+	if sc, ok := nc.(syscall.Conn); ok {
+		s.raw, _ = sc.SyscallConn()
+	}
+	return s
+}
+
+// TryWrite writes what the system takes now. A full socket is no error.
+func (s *Socket) TryWrite(b []byte) (n int, err error) {
+	if s.raw == nil {
+		return 0, nil
+	}
+	if e := s.raw.Write(func(fd uintptr) bool {
+		n, err = syscall.Write(int(fd), b)
+		return true // never wait for the socket
+	}); e != nil {
+		err = e
+	}
+	if errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) {
+		err = nil
+	}
+	return max(n, 0), err
+}
+
+// Quiet tells whether nothing waits to be read, no end either.
+func (s *Socket) Quiet() bool {
+	if s.raw == nil {
+		return true
+	}
+	quiet := false
+	var one [1]byte
+	err := s.raw.Control(func(fd uintptr) {
+		_, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(e, syscall.EAGAIN) || errors.Is(e, syscall.EINTR)
+	})
+	return err == nil && quiet
+}
+
+// End closes the connection for its peer before it returns; Close alone does so only once no read waits any more.
+func (s *Socket) End() {
+	if s.raw != nil {
+		s.raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
+	}
+	s.Close()
+}
+
+// EndWriting ends the sending side: the peer hears the end once it has read what was sent.
+func (s *Socket) EndWriting() {
+	if s.raw != nil {
+		s.raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_WR) })
+	}
+}
+
+// ReadPatiently takes a buffer for as long as it reads into it, not while it waits.
+func (s *Socket) ReadPatiently(shared *pgwire.Buffers) (buf []byte, n int, err error) {
+	if s.raw == nil {
+		buf = shared.Get()
+		n, err = s.Read(buf)
+		return buf, n, err
+	}
+	if e := s.raw.Read(func(fd uintptr) bool {
+		buf = shared.Get()
+		for n, err = syscall.Read(int(fd), buf); err == syscall.EINTR; {
+			n, err = syscall.Read(int(fd), buf)
+		}
+		if n > 0 {
+			return true
+		}
+		shared.Put(buf)
+		buf = nil
+		return err != syscall.EAGAIN
+	}); e != nil {
+		err = e
+	}
+	if err == nil && n <= 0 {
+		err = io.EOF
+	}
+	return buf, max(n, 0), err
+}
--- a/pgwire/build.go
+++ b/pgwire/build.go
@@ -126,3 +126,9 @@
 	}
 	return b
 }
+
+// AppendMessage appends a whole message of a body that is at hand.
+func AppendMessage(b []byte, typ byte, body []byte) []byte {
+	b, at := begin(b, typ)
+	return end(append(b, body...), at)
+}
--- a/pgwire/reader.go
+++ b/pgwire/reader.go
@@ -129,6 +129,21 @@
 	return b[0], nil
 }
 
+// Wait returns once there is something to read, or why there will not be.
+func (r *Reader) Wait() error {
+	for r.w == r.r {
+		if err := r.fill(1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Whole tells whether the next message is at hand without reading.
+func (r *Reader) Whole() bool {
+	return r.w-r.r >= 5 && uint64(r.w-r.r) >= 1+uint64(binary.BigEndian.Uint32(r.buf[r.r+1:]))
+}
+
 // take returns the next n bytes. It grows its buffer only as far as bytes really come in, so that a length
 // alone costs a peer's victim nothing.
 func (r *Reader) take(n int) ([]byte, error) {
--- a/server/conn.go
+++ b/server/conn.go
@@ -12,6 +12,8 @@
 
 	"umberladder/balance"
 	"umberladder/driver"
+	"umberladder/internal/inbox"
+	"umberladder/internal/sock"
 	"umberladder/pgwire"
 )
 
@@ -37,7 +39,7 @@
 type conn struct {
 	id      driver.ConnID
 	address string
-	inbox   *inbox
+	inbox   *inbox.Inbox[driver.Event]
 	cancel  context.CancelFunc
 	ctx     context.Context
 	warn    func(format string, args ...any)
@@ -46,9 +48,9 @@
 	writes sync.WaitGroup // of what a socket did not take at once
 
 	mu       sync.Mutex
-	nc       *socket // nil while it opens
-	out      job     // what is awaited
-	awaits   bool    // whether anything is
+	nc       *sock.Socket // nil while it opens
+	out      job          // what is awaited
+	awaits   bool         // whether anything is
 	ended    bool
 	unsent   bool // not a byte of out was taken by the system
 	secret   pgwire.Cancel
@@ -56,7 +58,7 @@
 	system   uint64 // the reader's: the cluster, as it was told on this connection
 }
 
-func newConn(ctx context.Context, id driver.ConnID, address string, in *inbox, warn func(string, ...any)) *conn {
+func newConn(ctx context.Context, id driver.ConnID, address string, in *inbox.Inbox[driver.Event], warn func(string, ...any)) *conn {
 	c := &conn{id: id, address: address, inbox: in, warn: warn}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	return c
@@ -72,7 +74,7 @@
 		c.tell(driver.Event{Kind: driver.EventDialed, Conn: c.id, Dial: &driver.DialError{Err: err}})
 		return nil
 	}
-	s := newSocket(nc)
+	s := sock.New(nc)
 	rd := &reading{r: pgwire.NewPatientReader(s, l.buffers, l.maxMessage), params: map[string]string{}}
 	rd.stop = context.AfterFunc(c.ctx, func() { nc.Close() })
 	if failure := c.open(s, rd.r, l, rd.params); failure != nil {
@@ -106,7 +108,7 @@
 	c.writes.Wait()
 }
 
-func (c *conn) tell(ev driver.Event) { c.inbox.put(ev) }
+func (c *conn) tell(ev driver.Event) { c.inbox.Put(ev) }
 
 // open goes through startup and authentication and prepares the question for facts.
 func (c *conn) open(nc net.Conn, r *pgwire.Reader, l *login, params map[string]string) *driver.DialError {
@@ -182,7 +184,7 @@
 	}
 	c.out, c.awaits = j, true
 	words = appendExchange(words[:0], j.kind, c.byParams, j.st, j.guard)
-	n, err := c.nc.tryWrite(words)
+	n, err := c.nc.TryWrite(words)
 	switch {
 	case err != nil:
 		c.unsent = n == 0
--- a/server/idle_test.go
+++ b/server/idle_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"umberladder/driver"
+	"umberladder/internal/inbox"
 	"umberladder/pgwire"
 )
 
@@ -76,7 +77,7 @@
 		peer := memory() - before
 		before = memory()
 		ctx, cancel := context.WithCancel(b.Context())
-		in, shared := newInbox(), &pgwire.Buffers{}
+		in, shared := inbox.New[driver.Event](), &pgwire.Buffers{}
 		for i := range n {
 			c := newConn(ctx, driver.ConnID(i+1), l.Addr().String(), in, func(string, ...any) {})
 			conns.Go(func() {
@@ -86,7 +87,7 @@
 			})
 		}
 		for up := 0; up < n; {
-			<-in.ready
+			<-in.Ready()
 			up += drained(in)
 		}
 		b.ReportMetric((memory()-before-peer)/n, "B/conn")
@@ -101,7 +102,7 @@
 }
 
 // drained is how many events an inbox held.
-func drained(in *inbox) int {
-	events, _ := in.drain(nil)
+func drained(in *inbox.Inbox[driver.Event]) int {
+	events, _ := in.Drain(nil)
 	return len(events)
 }
--- a/server/loop.go
+++ b/server/loop.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"umberladder/driver"
+	"umberladder/internal/inbox"
 )
 
 // clockStart is the engine's time at the start. It lies far from zero, which is no time to the module.
@@ -17,7 +18,7 @@
 // loop owns the engine. It alone calls it, never blocks on a socket, and carries out its commands.
 type loop struct {
 	engine          *driver.Engine
-	inbox           *inbox
+	inbox           *inbox.Inbox[driver.Event]
 	login           login
 	whole, streamed *room  // for answers
 	words           []byte // room to put an exchange together
@@ -61,7 +62,7 @@
 			due = at
 		}
 		select {
-		case <-l.inbox.ready:
+		case <-l.inbox.Ready():
 		case <-timer.C:
 		case f := <-l.looks:
 			f(l.engine)
@@ -75,7 +76,7 @@
 			time.Sleep(readersFirst)
 			advance = l.engine.StepLate
 		}
-		events, waited := l.inbox.drain(spare)
+		events, waited := l.inbox.Drain(spare)
 		if len(events) > 0 {
 			l.front.looped(waited)
 		}
@@ -151,7 +152,7 @@
 	case driver.CommandAnswer:
 		l.calls.answer(cmd.Request, cmd.Answer)
 	case driver.CommandSubscribe:
-		l.inbox.put(driver.Event{Kind: driver.EventList, List: listFull, Nodes: l.list()})
+		l.inbox.Put(driver.Event{Kind: driver.EventList, List: listFull, Nodes: l.list()})
 	case driver.CommandLog:
 		l.logLine(cmd)
 	case driver.CommandStopped:
--- a/server/server.go
+++ b/server/server.go
@@ -29,6 +29,7 @@
 
 	"umberladder/balance"
 	"umberladder/driver"
+	"umberladder/internal/inbox"
 	"umberladder/pgwire"
 	pb "umberladder/proto/umberladder/v1"
 	"umberladder/settings"
@@ -105,7 +106,7 @@
 		return nil, err
 	}
 	srv.metrics.registry.MustRegister(gateMetrics{front})
-	srv.loop = &loop{front: front, engine: engine, inbox: newInbox(), log: log, metrics: srv.metrics, start: srv.wall,
+	srv.loop = &loop{front: front, engine: engine, inbox: inbox.New[driver.Event](), log: log, metrics: srv.metrics, start: srv.wall,
 		login: login{user: s.User, password: password, database: s.Database, maxMessage: s.MaxMessage, history: s.TokenHistory, buffers: &pgwire.Buffers{}},
 		conns: map[driver.ConnID]*conn{}, cancels: s.DialTimeout, stopped: make(chan struct{}), looks: make(chan func(*driver.Engine)), list: srv.list}
 	srv.loop.whole, srv.loop.streamed = newRooms(s.Within(s.AnswerBytes))
@@ -190,7 +191,7 @@
 	s.mu.Lock()
 	s.nodes = nodes
 	s.mu.Unlock()
-	s.loop.inbox.put(driver.Event{Kind: driver.EventList, List: balance.ListFull, Nodes: s.list()})
+	s.loop.inbox.Put(driver.Event{Kind: driver.EventList, List: balance.ListFull, Nodes: s.list()})
 }
 
 func (s *Server) list() []driver.Node {
@@ -219,7 +220,7 @@
 	defer end()
 	conns, all := errgroup.Group{}, errgroup.Group{}
 	s.loop.work = &conns
-	s.loop.inbox.put(driver.Event{Kind: driver.EventList, List: balance.ListCached, Nodes: s.list()})
+	s.loop.inbox.Put(driver.Event{Kind: driver.EventList, List: balance.ListCached, Nodes: s.list()})
 	all.Go(func() error { return s.loop.run(life) })
 	all.Go(func() error {
 		if err := s.grpc.Serve(s.listener); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
@@ -266,7 +267,7 @@
 func (s *Server) drain() {
 	s.log.Info("driver is stopping", zap.Duration("within", s.settings.StopWithin))
 	s.health.Shutdown()
-	s.loop.inbox.put(driver.Event{Kind: driver.EventStop, Until: s.loop.now() + s.settings.StopWithin})
+	s.loop.inbox.Put(driver.Event{Kind: driver.EventStop, Until: s.loop.now() + s.settings.StopWithin})
 	select {
 	case <-s.loop.stopped:
 	case <-s.killed.Done():
--- a/server/service.go
+++ b/server/service.go
@@ -130,7 +130,7 @@
 		a := driver.Answer{Status: driver.Refused, Cause: driver.CauseStopping}
 		return a, statusOf(&a)
 	}
-	s.loop.inbox.put(driver.Event{Kind: driver.EventRequest, Request: id, Ask: ask})
+	s.loop.inbox.Put(driver.Event{Kind: driver.EventRequest, Request: id, Ask: ask})
 	var rows chan aheadRow
 	var full chan struct{}
 	// The loop answers in time, unless it is late itself. Then the answer is given here, and the loop sends nothing for
@@ -139,7 +139,7 @@
 	defer overdue.Stop()
 	leave := func(err error) (driver.Answer, error) {
 		s.loop.calls.drop(id)
-		s.loop.inbox.put(driver.Event{Kind: driver.EventLeft, Request: id})
+		s.loop.inbox.Put(driver.Event{Kind: driver.EventLeft, Request: id})
 		return driver.Answer{}, err
 	}
 	for {
