--- a/balance/balance.go
+++ b/balance/balance.go
@@ -112,6 +112,7 @@
 	out                     []flight
 	limit                   float64
 	cutAt, answered, failed time.Duration // failed: when an attempt last went unanswered
+	met                     time.Duration // when it last answered a poll
 	conns                   int           // connections that it is taken to have open
 	credit                  float64       // sends it may have while cold
 	turn                    uint64
@@ -342,14 +343,15 @@
 		return
 	}
 	if s.polling = false; e.Outcome == OutcomeOK {
-		// After what looked like a death it starts slowly: the list is late. A broken connection is no death.
-		if s.fails >= failureLimit || s.reset && s.fails > 0 {
+		// After what looked like a death it starts slowly: the list is late. A broken connection is no death, nor are
+		// many in a short time.
+		if (s.fails >= failureLimit || s.reset && s.fails > 0) && r.now-max(s.met, s.answered) > pollCap*r.interval {
 			s.started, s.limit, s.credit = max(s.started, r.now), r.startLimit(), r.rng.Float64()
 		}
 		if s.unreached && s.fails == 0 {
 			r.scarce = r.now + regain
 		}
-		s.fails, s.polled, s.reset, s.unreached = 0, true, false, false
+		s.fails, s.polled, s.reset, s.unreached, s.met = 0, true, false, false, r.now
 		r.report(s, &e.Report)
 		if s.group.primary == s && e.Report.Primary {
 			s.group.named = max(s.group.named, r.now-e.Age)
