The module hears of each attempt, also where its client left in the same step

What the module believes beside the sockets (core/belief.go): both primaries silent with one request out, for 15 s, while nothing was sent to them. Ruled out: hangs (their polls were answered in milliseconds) and full pools (two idle connections each).

Requests that are over are now forgotten only after the module has heard.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,6 +36,8 @@
 	retryShare     = 0.05 // retry budget earned by each first attempt
 	retryBurst     = 20.0 // most retry budget kept
 
+	heldShare = 0.5 // part of its time for which a request that never went out is held
+
 	regain = 5 * time.Second // how long what was learned of connections holds
 	forget = 60 * time.Second
 )
@@ -991,7 +993,11 @@
 		end = min(end, q.arrived+q.class.Target)
 	}
 	need := min(time.Duration(q.group.latency), q.class.Target/2) // a slow spell must not refuse all unseen
-	return min(end-need, q.deadline-2*r.cfg.Round)
+	end = min(end-need, q.deadline-2*r.cfg.Round)
+	if q.sends == 0 {
+		end = min(end, q.arrived+time.Duration(heldShare*float64(q.deadline-q.arrived))-2*r.cfg.Round)
+	}
+	return end
 }
 
 // rescue tries a request elsewhere whose server has gone silent; a write only where its connection was lost.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -239,6 +239,36 @@
 	}
 }
 
+// TestFailedPollsOfAMomentAreNoRestart has a way break connections: a server that answered a second ago did not start anew,
+// one that was away for longer may have.
+func TestFailedPollsOfAMomentAreNoRestart(t *testing.T) {
+	for away, want := range map[time.Duration]bool{500 * ms: true, 5 * time.Second: false} {
+		g := newRig(t, baseConfig(), 2)
+		g.ready(2)
+		for range failureLimit {
+			g.now += away / failureLimit
+			g.step(Event{Kind: EventPoll, Server: 2, Outcome: OutcomeReset, Age: ms})
+		}
+		g.report(2, false, 10*ms)
+		if warm := g.r.warmth(g.r.servers[2]) == 1; warm != want {
+			t.Errorf("after %v: warm %v, want %v", away, warm, want)
+		}
+	}
+}
+
+func TestWhatNeverWentOutIsHeldForHalfOfItsTime(t *testing.T) {
+	g := newRig(t, baseConfig(), 1)
+	g.step(Event{Kind: EventRequest, Request: 1, Class: write, Key: 9, Deadline: g.now + 2*time.Second})
+	g.run(900 * ms)
+	if _, ended := g.final[1]; ended {
+		t.Fatal("given up before half of its time")
+	}
+	g.run(100 * ms)
+	if a, ended := g.final[1]; !ended || a != ActionReject {
+		t.Errorf("after half of its time: ended %v, by %v", ended, a)
+	}
+}
+
 func TestSessionSeesAWriteWhoseClientLeft(t *testing.T) {
 	cfg := baseConfig()
 	cfg.RouterTokens = true
--- a/driver/engine.go
+++ b/driver/engine.go
@@ -74,7 +74,8 @@
 	rng      *rand.Rand
 	life     life
 	requests map[RequestID]*request
-	held     int // requests without their final answer
+	over     []RequestID // to be forgotten once the module knows
+	held     int         // requests without their final answer
 	nodes    map[balance.ServerID]*node
 	byKey    map[nodeKey]*node
 	conns    map[ConnID]*conn
@@ -231,6 +232,7 @@
 // route gives the module its news and carries out what it settles. Some actions end at once, as one for a
 // request that is over; the module hears of these in a further round at the same time.
 func (e *Engine) route() {
+	defer e.forgetOver()
 	for round := 0; round == 0 || len(e.news) > 0; round++ {
 		if round == mostRounds {
 			e.timers.Set(e.now+e.cfg.Router.Round, func(time.Duration) {})
@@ -459,12 +461,23 @@
 	e.forget(q)
 }
 
+// forget drops a request that is over, once the module knows that it is: until then it may still send it, and must hear
+// what became of that.
 func (e *Engine) forget(q *request) {
 	if q.done && q.out == 0 {
-		delete(e.requests, q.id)
+		e.over = append(e.over, q.id)
 	}
 }
 
+func (e *Engine) forgetOver() {
+	for _, id := range e.over {
+		if q := e.requests[id]; q != nil && q.done && q.out == 0 {
+			delete(e.requests, id)
+		}
+	}
+	e.over = e.over[:0]
+}
+
 func (e *Engine) stop(until time.Duration) {
 	if e.until > 0 {
 		return
--- a/driver/engine_test.go
+++ b/driver/engine_test.go
@@ -175,6 +175,21 @@
 	r.quiet()
 }
 
+// TestClientLeavesAsItComes: request and leaving are one step. The module sends it before it hears of the leaving, and
+// must hear what became of that.
+func TestClientLeavesAsItComes(t *testing.T) {
+	r := newRig(t, testConfig(), fleetFacts())
+	r.lastReq++
+	r.step(Event{Kind: EventRequest, Request: r.lastReq, Ask: Ask{Class: classWrite, Slice: "news", Session: "s",
+		Deadline: r.now + time.Second}}, Event{Kind: EventLeft, Request: r.lastReq})
+	for _, v := range r.e.router.Views(nil) {
+		if v.Out != 0 {
+			t.Errorf("the module believes that node %d has %d requests", v.Server, v.Out)
+		}
+	}
+	r.quiet()
+}
+
 // TestClientLeavesWhileDialing: the connection comes up later and must not carry the request.
 func TestClientLeavesWhileDialing(t *testing.T) {
 	r := newRig(t, testConfig(), fleetFacts())
