A request that others overtook for long takes no room and says nothing of its server

The trace of beliefs shows the primary taken for silent, or full at a limit of 1.3, with 4 or 5 writes out, while its polls are answered in 3 ms; all of these are on connections that fell silent.

Checked, ruled out: hangs of the member (others are answered), half-time holding (refused or late, the time is the same).

At fault: Router.silent, room and landed took a request that others had overtaken for one that its server keeps. Change: one that was overtaken and waited for 8 mean latencies takes no room, is no sign of silence, its time-out cuts no limit, and a safe read among them is rescued.

Also: a read of a client's socket and the look whether a session lies idle exclude one another (one request in 137,000 was lost when a session was ended between them).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -114,7 +114,7 @@
 	out                     []flight
 	limit                   float64
 	cutAt, answered, failed time.Duration // failed: when an attempt last went unanswered
-	met                     time.Duration // when it last answered a poll
+	met, latest             time.Duration // when it last answered a poll; the newest send that it answered
 	conns                   int           // connections that it is taken to have open
 	credit                  float64       // sends it may have while cold
 	turn                    uint64
@@ -345,9 +345,10 @@
 		return
 	}
 	if s.polling = false; e.Outcome == OutcomeOK {
-		// After what looked like a death it starts slowly: the list is late. A broken connection is no death, nor are
-		// many in a short time.
-		if (s.fails >= failureLimit || s.reset && s.fails > 0) && r.now-max(s.met, s.answered) > pollCap*r.interval {
+		// After what looked like a death it starts slowly: the list is late. A broken connection is no death, nor
+		// are many in a short time.
+		if died := s.fails >= failureLimit || s.reset && s.fails > 0; died &&
+			r.now-max(s.met, s.answered) > pollCap*r.interval {
 			s.started, s.limit, s.credit = max(s.started, r.now), r.startLimit(), r.rng.Float64()
 		}
 		if s.unreached && s.fails == 0 {
@@ -680,13 +681,27 @@
 	} else if q.class.Need > NeedFresh && s == s.group.primary {
 		share = fallbackShare
 	}
-	return float64(len(s.out)) < max(1, s.limit*share) &&
+	out := 0.0
+	for _, f := range s.out {
+		if !r.stuck(s, f.sent) {
+			out++
+		}
+	}
+	return out < max(1, s.limit*share) &&
 		(r.now >= r.scarce || s.conns == 0 || len(s.out) < s.conns)
 }
 
-// silent tells whether a server keeps requests without answering any: hangs, pauses and cut links.
+// silent tells whether a server keeps requests without answering any: hangs, pauses and cut links. What
+// others overtook proves nothing.
 func (r *Router) silent(s *server) bool {
-	return len(s.out) > 0 && r.now-max(s.answered, s.out[0].sent) > r.patience(s)
+	i := slices.IndexFunc(s.out, func(f flight) bool { return f.sent >= s.latest })
+	return i >= 0 && r.now-max(s.answered, s.out[i].sent) > r.patience(s)
+}
+
+// stuck tells whether a request was overtaken by one sent later and has waited for long: most likely its
+// connection alone went silent. It takes no room and says nothing of its server. Hurts when it is only long.
+func (r *Router) stuck(s *server, sent time.Duration) bool {
+	return sent < s.latest && r.now-sent > r.patience(s)
 }
 
 // patience is how long a server may go without an answer: a lone long request must not look like silence.
@@ -779,6 +794,7 @@
 	switch e.Outcome {
 	case OutcomeOK, OutcomeError, OutcomeFull, OutcomeMiss:
 		s.answered, s.failed, s.conns = r.now, 0, max(s.conns, len(s.out)+1)
+		s.latest = max(s.latest, r.now-e.Age)
 		r.note(s, e, q != nil && q.class.Need == NeedWrite)
 		if q != nil && e.Outcome == OutcomeOK {
 			r.learn(s, q, e.Age)
@@ -786,7 +802,7 @@
 			r.cut(s, q, fullCut, paceCut)
 		}
 	case OutcomeTimeout, OutcomeCancelled:
-		if q == nil || float64(e.Age) <= nearTarget*float64(q.class.Target) {
+		if q == nil || float64(e.Age) <= nearTarget*float64(q.class.Target) || r.stuck(s, r.now-e.Age) {
 			return // one that was given little time tells nothing
 		}
 		// Some answers are lost on the way or with a server that hangs; where most are, queues eat them.
@@ -968,6 +984,9 @@
 		until = min(until, r.lastCall(q))
 	case s != nil && !q.pulled:
 		late := max(q.sent, s.answered) + r.patience(s) + 1
+		if q.sent < s.latest {
+			late = q.sent + r.patience(s) + 1
+		}
 		if late > r.now || q.class.Effect == Safe || r.cfg.ParallelTries {
 			until = min(until, late)
 		}
@@ -1003,7 +1022,7 @@
 // rescue tries a request elsewhere whose server has gone silent; a write only where its connection was lost.
 func (r *Router) rescue(q *request) {
 	s := q.last
-	if s == nil || q.pulled || r.now-max(q.sent, s.answered) <= r.patience(s) ||
+	if s == nil || q.pulled || r.now-max(q.sent, s.answered) <= r.patience(s) && !r.stuck(s, q.sent) ||
 		!slices.ContainsFunc(s.out, func(f flight) bool { return f.id == q.id }) {
 		return
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -269,6 +269,36 @@
 	}
 }
 
+// TestAnOvertakenWriteHoldsNothingUp has one connection go silent at a server that answers others: the rest must go on.
+func TestAnOvertakenWriteHoldsNothingUp(t *testing.T) {
+	g := newRig(t, baseConfig(), 1)
+	g.ready(1)
+	g.ask(1, write)
+	g.wantTries(1, 1)
+	g.now += 5 * ms
+	for id := RequestID(2); id < 30; id++ {
+		g.ask(id, write)
+		g.wantTries(id, 1)
+		g.now += 20 * ms
+		g.end(id, 0, 1, OutcomeOK, RolePrimary)
+		g.now += 40 * ms
+		g.report(1, true, ms)
+	}
+	g.run(2 * time.Second) // for longer than its patience, nothing but the stuck one is out
+	g.report(1, true, ms)
+	s := g.r.servers[1]
+	if !g.r.stuck(s, s.out[0].sent) || g.r.silent(s) {
+		t.Errorf("stuck %v, silent %v", g.r.stuck(s, s.out[0].sent), g.r.silent(s))
+	}
+	limit := s.limit
+	g.ask(40, write)
+	g.wantTries(40, 1)
+	g.step(Event{Kind: EventOutcome, Request: 1, Server: 1, Outcome: OutcomeTimeout, Age: 3 * time.Second})
+	if s.limit != limit || s.failed != 0 {
+		t.Errorf("a lost connection speaks against its server: limit %v of %v, failed %v", s.limit, limit, s.failed)
+	}
+}
+
 func TestSessionSeesAWriteWhoseClientLeft(t *testing.T) {
 	cfg := baseConfig()
 	cfg.RouterTokens = true
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"syscall"
 
 	"umberladder/pgwire"
@@ -14,9 +15,15 @@
 // Socket is a connection with ways that do not wait.
 type Socket struct {
 	net.Conn
-	raw syscall.RawConn // nil for what is no socket of the system
+	raw   syscall.RawConn // nil for what is no socket of the system
+	gate  sync.Locker
+	heard func()
 }
 
+// Gate has each patient read that brings something call heard, both under a lock. Who holds the lock then knows whether
+// what is not in the socket any more was heard of.
+func (s *Socket) Gate(gate sync.Locker, heard func()) { s.gate, s.heard = gate, heard }
+
 // New makes a Socket of a connection.
 func New(nc net.Conn) *Socket {
 	s := &Socket{Conn: nc}
@@ -57,11 +64,20 @@
 	return err == nil && quiet
 }
 
-// End closes the connection for its peer before it returns; Close alone does so only once no read waits any more.
-func (s *Socket) End() {
-	if s.raw != nil {
-		s.raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
+// Shut ends the connection for its peer and for what reads it here, before it returns and without waiting for that. The
+// socket itself is left to Close.
+func (s *Socket) Shut() {
+	if s.raw == nil {
+		s.Close()
+		return
 	}
+	s.raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
+}
+
+// End shuts the connection and closes its socket. Who holds what a read of it waits for must only shut it: Close waits for
+// reads to end.
+func (s *Socket) End() {
+	s.Shut()
 	s.Close()
 }
 
@@ -81,10 +97,17 @@
 	}
 	if e := s.raw.Read(func(fd uintptr) bool {
 		buf = shared.Get()
+		if s.gate != nil {
+			s.gate.Lock()
+			defer s.gate.Unlock()
+		}
 		for n, err = syscall.Read(int(fd), buf); err == syscall.EINTR; {
 			n, err = syscall.Read(int(fd), buf)
 		}
 		if n > 0 {
+			if s.heard != nil {
+				s.heard()
+			}
 			return true
 		}
 		shared.Put(buf)
