A start that no list tells within five seconds was none

At fault: Router.polledBy takes any long absence for a death and holds the member for cold over the whole ramp of 12 s.

Change: what looked like a start counts for five seconds; by then a list has told a real one. Ruled out as a danger: with three times its present capacity a member that is cold after all tips over from 1.6 times its whole capacity on, five seconds after its start.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -103,7 +103,8 @@
 	group                   *group
 	zone                    int
 	life                    Life
-	toldAt, started         time.Duration
+	toldAt                  time.Duration
+	started, assumed        time.Duration // as listed; what looked like one
 	position, heardAt       time.Duration // the highest told, and when
 	denied                  time.Duration // when it last said that it is no primary
 	dropped                 bool          // its drain was told before it went
@@ -262,7 +263,7 @@
 		r.servers[s.id] = s
 		g.members = append(g.members, s)
 		slices.SortFunc(g.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
-	case e.Started > s.started:
+	case e.Started > max(s.started, s.assumed):
 		s.credit = r.rng.Float64()
 		r.pollAt(s, r.now)
 		if s.group.primary == s {
@@ -349,7 +350,7 @@
 		// are many in a short time.
 		if died := s.fails >= failureLimit || s.reset && s.fails > 0; died &&
 			r.now-max(s.met, s.answered) > pollCap*r.interval {
-			s.started, s.limit, s.credit = max(s.started, r.now), r.startLimit(), r.rng.Float64()
+			s.assumed, s.limit, s.credit = r.now, r.startLimit(), r.rng.Float64()
 		}
 		if s.unreached && s.fails == 0 {
 			r.scarce = r.now + regain
@@ -744,8 +745,12 @@
 
 // warmth is the least share of its capacity that a server has by now.
 func (r *Router) warmth(s *server) float64 {
-	age := r.now - s.started
-	if s.started == 0 || age >= r.cfg.RampTime {
+	start := s.started
+	if r.now-s.assumed < regain { // by then a list has told it, if it did start
+		start = max(start, s.assumed)
+	}
+	age := r.now - start
+	if start == 0 || age >= r.cfg.RampTime {
 		return 1
 	}
 	return r.cfg.ColdFrom + (1-r.cfg.ColdFrom)*float64(max(age, 0))/float64(r.cfg.RampTime)
