--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,6 +10,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -430,7 +431,7 @@
 	}
 	g.claim = at
 	if g.primary != s {
-		r.log(fmt.Sprintf("primary is now %x", uint64(s.id)))
+		r.log(primaryLog + strconv.FormatUint(uint64(s.id), 16))
 		g.primary, r.kick = s, true
 	}
 }
--- a/balance/view.go
+++ b/balance/view.go
@@ -1,6 +1,20 @@
 package balance
 
-import "time"
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// primaryLog begins the text with which a router logs that it follows another primary.
+const primaryLog = "primary is now "
+
+// LoggedPrimary is the server that such a text names, false for other texts. Routers know servers by number alone.
+func LoggedPrimary(text string) (ServerID, bool) {
+	number, ok := strings.CutPrefix(text, primaryLog)
+	id, err := strconv.ParseUint(number, 16, 64)
+	return ServerID(id), ok && err == nil
+}
 
 // View is what a router believes of one server, for operators and tests. It decides nothing.
 type View struct {
--- a/driver/conns.go
+++ b/driver/conns.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"umberladder/balance"
@@ -124,12 +123,9 @@
 
 // named puts names into a text of the module, which knows nodes by number alone.
 func (e *Engine) named(text string) string {
-	if number, ok := strings.CutPrefix(text, "primary is now "); ok {
-		var id uint64
-		if _, err := fmt.Sscanf(number, "%x", &id); err == nil && e.nodes[balance.ServerID(id)] != nil {
-			n := e.nodes[balance.ServerID(id)]
-			return fmt.Sprintf("primary of slice %s is now %s", n.slice.name, n.listed.Name)
-		}
+	if id, ok := balance.LoggedPrimary(text); ok && e.nodes[id] != nil {
+		n := e.nodes[id]
+		return fmt.Sprintf("primary of slice %s is now %s", n.slice.name, n.listed.Name)
 	}
 	return text
 }
