Rounds with the module stand once, for both engines

Cause: platform/core wrote again what driver.Engine had: giving the router its news, carrying out what it settles, a bound on rounds at one time, and the router's timers. Change: package internal/rounds has it; both call it, each with its own bound. Behaviour is as it was.

--- a/driver/engine.go
+++ b/driver/engine.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"umberladder/balance"
+	"umberladder/internal/rounds"
 	"umberladder/internal/schedule"
 	"umberladder/position"
 	"umberladder/token"
@@ -64,12 +65,10 @@
 // Engine is one driver's state. It is not safe for concurrent use.
 type Engine struct {
 	cfg      Config
-	router   *balance.Router
 	twins    []int // by class, the module's class for a request of it that carries a token
 	now      time.Duration
 	cmds     []Command
-	news     []balance.Event // for the module
-	acts     []balance.Action
+	rounds   rounds.Rounds // with the module
 	timers   schedule.Timers
 	rng      *rand.Rand
 	life     life
@@ -126,8 +125,9 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Engine{cfg: cfg, router: router, twins: twins, requests: map[RequestID]*request{}, nodes: map[balance.ServerID]*node{},
+	e := &Engine{cfg: cfg, twins: twins, requests: map[RequestID]*request{}, nodes: map[balance.ServerID]*node{},
 		byKey: map[nodeKey]*node{}, conns: map[ConnID]*conn{}, slices: map[string]*slice{}, byToken: map[token.SliceID][]*slice{}, rng: rand.New(rand.NewPCG(seed, 0x746f706f))}
+	e.rounds = rounds.Rounds{Router: router, Timers: &e.timers, Act: e.act, Most: mostRounds, Pause: cfg.Router.Round}
 	e.sessions = newSessions(cfg.SessionBytes)
 	e.sessions.lift = func(name string, since time.Duration) (position.Position, bool) {
 		s := e.slices[name]
@@ -196,7 +196,8 @@
 	if late {
 		e.timers.Run(e.now)
 	}
-	e.route()
+	e.rounds.Settle(e.now)
+	e.forgetOver()
 	if e.until > 0 && !e.stopped && e.held == 0 {
 		e.stopped = true
 		e.cmds = append(e.cmds, Command{Kind: CommandStopped})
@@ -229,24 +230,6 @@
 // mostRounds bounds how often the module is asked again about what its own actions led to at once.
 const mostRounds = 64
 
-// route gives the module its news and carries out what it settles. Some actions end at once, as one for a
-// request that is over; the module hears of these in a further round at the same time.
-func (e *Engine) route() {
-	defer e.forgetOver()
-	for round := 0; round == 0 || len(e.news) > 0; round++ {
-		if round == mostRounds {
-			e.timers.Set(e.now+e.cfg.Router.Round, func(time.Duration) {})
-			return
-		}
-		news := e.news
-		e.news = nil
-		e.acts = e.router.Step(e.now, news, e.acts[:0])
-		for i := range e.acts {
-			e.act(&e.acts[i])
-		}
-	}
-}
-
 func (e *Engine) act(a *balance.Action) {
 	switch a.Kind {
 	case balance.ActionTry:
@@ -261,11 +244,6 @@
 		e.answer(e.requests[a.Request], Answer{Status: Failed, Cause: CauseUncertain})
 	case balance.ActionPoll:
 		e.poll(e.nodes[a.Server])
-	case balance.ActionTimer:
-		token := a.Token
-		e.timers.Set(e.now+max(a.After, 0), func(time.Duration) {
-			e.tell(balance.Event{Kind: balance.EventTimer, Token: token})
-		})
 	case balance.ActionSubscribe:
 		e.cmds = append(e.cmds, Command{Kind: CommandSubscribe})
 	case balance.ActionDisconnect:
@@ -275,7 +253,7 @@
 	}
 }
 
-func (e *Engine) tell(ev balance.Event) { e.news = append(e.news, ev) }
+func (e *Engine) tell(ev balance.Event) { e.rounds.Tell(ev) }
 
 func (e *Engine) request(ev *Event) {
 	if e.requests[ev.Request] != nil {
--- a/driver/engine_test.go
+++ b/driver/engine_test.go
@@ -182,7 +182,7 @@
 	r.lastReq++
 	r.step(Event{Kind: EventRequest, Request: r.lastReq, Ask: Ask{Class: classWrite, Slice: "news", Session: "s",
 		Deadline: r.now + time.Second}}, Event{Kind: EventLeft, Request: r.lastReq})
-	for _, v := range r.e.router.Views(nil) {
+	for _, v := range r.e.rounds.Router.Views(nil) {
 		if v.Out != 0 {
 			t.Errorf("the module believes that node %d has %d requests", v.Server, v.Out)
 		}
