The books of connections to a node stand once, for both engines

Cause: platform/core and driver each kept idle, busy and opening connections by the same steps (take the one used last, count, drop, lose). Change: package internal/pool keeps them; both embed it. Who waits for a connection and what is done with a lost one stays with each.

--- a/driver/conns.go
+++ b/driver/conns.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"umberladder/balance"
+	"umberladder/internal/pool"
 	"umberladder/position"
 	"umberladder/token"
 	"umberladder/topology"
@@ -13,12 +14,11 @@
 
 // node is one db node at one address. Another address under the same name is another node to the module.
 type node struct {
+	pool.Pool[*conn]
+
 	id        balance.ServerID
 	listed    Node
 	slice     *slice
-	idle      []*conn // most recently used last
-	busy      int     // connections for requests that are not idle
-	dials     int     // of these, being opened
 	queue     []*attempt
 	prober    *conn         // the connection that polls go over
 	polled    bool          // the module awaits the end of a poll
@@ -155,10 +155,7 @@
 	}
 	a.until = end
 	e.timers.Set(end, func(time.Duration) { e.timeout(a) })
-	if k := len(n.idle); k > 0 {
-		c := n.idle[k-1]
-		n.idle = n.idle[:k-1]
-		n.busy++
+	if c, ok := n.Take(); ok {
 		e.send(c, a)
 		return
 	}
@@ -167,7 +164,7 @@
 		return
 	}
 	n.queue = append(n.queue, a)
-	if e.refill(n); n.scarce() && n.open() == 0 && n.dials == 0 {
+	if e.refill(n); n.scarce() && n.open() == 0 && n.Dials == 0 {
 		e.ended(a, balance.Event{Outcome: balance.OutcomeFull})
 		return
 	}
@@ -180,9 +177,8 @@
 
 // refill opens connections for those that wait at a node, one each, up to the pool's size.
 func (e *Engine) refill(n *node) {
-	for n.dials < len(n.queue) && n.busy+len(n.idle) < e.cfg.PoolSize && e.mayDial(n) {
-		n.busy++
-		n.dials++
+	for n.Dials < len(n.queue) && n.Len() < e.cfg.PoolSize && e.mayDial(n) {
+		n.Dial()
 		e.dial(n, false)
 	}
 }
@@ -216,7 +212,7 @@
 		e.askProber(c)
 		return
 	}
-	c.node.dials--
+	c.node.Up()
 	e.release(c)
 	e.refill(c.node)
 }
@@ -252,7 +248,7 @@
 	e.become(c, idle)
 	c.attempt = nil
 	if n.pollWaits {
-		n.busy--
+		n.Lose(false)
 		e.probeOver(c)
 		return
 	}
@@ -260,9 +256,8 @@
 		e.send(c, a)
 		return
 	}
-	n.busy--
 	c.usedAt = e.now
-	n.idle = append(n.idle, c)
+	n.Put(c)
 	switch keep := e.idleFor(n); {
 	case keep < e.cfg.IdleClose:
 		e.reapAt(c, e.now+keep)
@@ -314,12 +309,9 @@
 			n.prober = nil
 		}
 	case c.state == idle:
-		n.idle = slices.DeleteFunc(n.idle, func(i *conn) bool { return i == c })
+		n.Drop(c)
 	default:
-		n.busy--
-		if c.state == dialing {
-			n.dials--
-		}
+		n.Lose(c.state == dialing)
 	}
 	e.become(c, dead)
 	delete(e.conns, c.id)
@@ -333,7 +325,7 @@
 	if n == nil {
 		return
 	}
-	for _, c := range slices.Clone(n.idle) {
+	for _, c := range slices.Clone(n.Idle) {
 		e.lost(c, true)
 	}
 }
--- a/driver/engine_test.go
+++ b/driver/engine_test.go
@@ -132,11 +132,11 @@
 	if a := r.answer(w); a.Status != Failed {
 		t.Fatalf("answer %+v", a)
 	}
-	if n := len(r.e.byKey[nodeKey{"p", "p:1", "news", 0}].idle); n != 0 {
+	if n := len(r.e.byKey[nodeKey{"p", "p:1", "news", 0}].Idle); n != 0 {
 		t.Errorf("%d connections idle with a reply pending", n)
 	}
 	r.reply(c)
-	if n := len(r.e.byKey[nodeKey{"p", "p:1", "news", 0}].idle); n != 1 {
+	if n := len(r.e.byKey[nodeKey{"p", "p:1", "news", 0}].Idle); n != 1 {
 		t.Errorf("%d connections idle after the reply", n)
 	}
 	r.answer(w)
@@ -152,7 +152,7 @@
 	if !r.closed[c.Conn] {
 		t.Error("the shell was not told to close it")
 	}
-	if n := r.e.byKey[nodeKey{"p", "p:1", "news", 0}].busy; n != 0 {
+	if n := r.e.byKey[nodeKey{"p", "p:1", "news", 0}].Busy; n != 0 {
 		t.Errorf("%d connections still busy", n)
 	}
 	r.quiet()
--- a/driver/rig_test.go
+++ b/driver/rig_test.go
@@ -221,8 +221,8 @@
 		r.t.Errorf("%d requests known, %d held after all was quiet", len(r.e.requests), r.e.held)
 	}
 	for _, n := range r.e.nodes {
-		if n.busy != 0 || n.dials != 0 || len(n.queue) != 0 || len(n.idle) != 0 {
-			r.t.Errorf("node %s: %d busy, %d dials, %d queued, %d idle after all was quiet", n.listed.Name, n.busy, n.dials, len(n.queue), len(n.idle))
+		if n.Busy != 0 || n.Dials != 0 || len(n.queue) != 0 || len(n.Idle) != 0 {
+			r.t.Errorf("node %s: %d busy, %d dials, %d queued, %d idle after all was quiet", n.listed.Name, n.Busy, n.Dials, len(n.queue), len(n.Idle))
 		}
 	}
 }
--- a/driver/scarce.go
+++ b/driver/scarce.go
@@ -29,7 +29,7 @@
 
 // open is how many connections to the node are open.
 func (n *node) open() int {
-	open := n.busy - n.dials + len(n.idle)
+	open := n.Len() - n.Dials
 	if n.prober != nil && n.prober.state != dialing {
 		open++
 	}
@@ -41,7 +41,7 @@
 
 // mayDial tells whether a further connection for requests may be opened now.
 func (e *Engine) mayDial(n *node) bool {
-	return !n.scarce() || n.dials == 0 && e.now >= n.full.until
+	return !n.scarce() || n.Dials == 0 && e.now >= n.full.until
 }
 
 // isFull notes that the node turned a connection away, and has one tried for again after a pause if it is still wanted.
@@ -69,7 +69,7 @@
 		return nil
 	}
 	n.prober, c.probes = nil, false
-	n.busy++
+	n.Busy++
 	return c
 }
 
@@ -82,19 +82,21 @@
 		e.askProber(c)
 		return true
 	}
-	k := len(n.idle)
-	if k == 0 || !n.scarce() {
+	if !n.scarce() {
 		return false
 	}
-	c := n.idle[k-1]
-	n.idle = n.idle[:k-1]
+	c, ok := n.Take()
+	if !ok {
+		return false
+	}
+	n.Lose(false)
 	e.probeOver(c)
 	return true
 }
 
 // waitsToPoll has a poll wait for a connection that is at work, where connections are scarce.
 func (n *node) waitsToPoll() bool {
-	n.pollWaits = n.scarce() && n.busy > n.dials
+	n.pollWaits = n.scarce() && n.Busy > n.Dials
 	return n.pollWaits
 }
 
