A request on the platform has one name; who waits for an answer is found in one table

Cause: since requests of one connection go side by side, each had a ticket's number in the shell and another in the core, the core's check for an open request of a connection could not fire any more, and the shell's table of tickets was server's table of calls written again. Wrappers of one call, and the same test for an idle session in three places, were left over.

Change: the shell's number is the request's in the core (bySession, lastID and Open are gone; what is held is what is known by the client's id); package internal/waiting has the table for both shells; sessions have one test for idleness, and end in the step that writes their last answer. Behaviour is as it was.

--- a/server/calls.go
+++ b/server/calls.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"sync"
 
 	"umberladder/driver"
+	"umberladder/internal/waiting"
 	pb "umberladder/proto/umberladder/v1"
 )
 
@@ -34,51 +34,17 @@
 }
 
 // callTable finds calls by their request. Handlers add, the loop answers.
-type callTable struct {
-	mu    sync.Mutex
-	calls map[driver.RequestID]*call
-	last  driver.RequestID
-	ended bool
-}
-
-// add gives a call its request, false once nobody would answer it.
-func (t *callTable) add(c *call) (driver.RequestID, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.ended {
-		return 0, false
-	}
-	t.last++
-	if t.calls == nil {
-		t.calls = map[driver.RequestID]*call{}
-	}
-	t.calls[t.last] = c
-	return t.last, true
-}
-
-func (t *callTable) get(id driver.RequestID) *call {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.calls[id]
-}
-
-func (t *callTable) drop(id driver.RequestID) *call {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	c := t.calls[id]
-	delete(t.calls, id)
-	return c
-}
+type callTable struct{ waiting.Table[*call] }
 
 // answer hands over the final answer; the channels hold one each, so it never blocks.
 func (t *callTable) answer(id driver.RequestID, a driver.Answer) {
-	if c := t.drop(id); c != nil {
+	if c := t.Drop(id); c != nil {
 		c.final <- a
 	}
 }
 
 func (t *callTable) open(id driver.RequestID, a driver.Answer, st *stream) {
-	if c := t.get(id); c != nil && st != nil {
+	if c := t.Get(id); c != nil && st != nil {
 		c.opened <- opening{a, st}
 		close(st.opened)
 	}
@@ -86,11 +52,7 @@
 
 // failAll ends every call without a promise: the loop is gone.
 func (t *callTable) failAll() {
-	t.mu.Lock()
-	calls := t.calls
-	t.calls, t.ended = nil, true
-	t.mu.Unlock()
-	for _, c := range calls {
+	for _, c := range t.End() {
 		c.final <- driver.Answer{Status: driver.Failed, Cause: driver.CauseStopping}
 	}
 }
--- a/server/loop.go
+++ b/server/loop.go
@@ -169,7 +169,7 @@
 }
 
 func (l *loop) send(cmd *driver.Command) {
-	c, call := l.conns[cmd.Conn], l.calls.get(cmd.Request)
+	c, call := l.conns[cmd.Conn], l.calls.Get(cmd.Request)
 	if c == nil || call == nil {
 		return
 	}
--- a/server/service.go
+++ b/server/service.go
@@ -125,7 +125,7 @@
 // await hands a call to the loop and waits for its final answer, passing a streamed one on as it comes. An
 // error is the status to return.
 func (s *service) await(ctx context.Context, ask driver.Ask, c *call, pass passing) (driver.Answer, error) {
-	id, ok := s.loop.calls.add(c)
+	id, ok := s.loop.calls.Add(c)
 	if !ok {
 		a := driver.Answer{Status: driver.Refused, Cause: driver.CauseStopping}
 		return a, statusOf(&a)
@@ -138,7 +138,7 @@
 	overdue := time.NewTimer(ask.Deadline - s.settings.AnswerMargin/4 - s.loop.now())
 	defer overdue.Stop()
 	leave := func(err error) (driver.Answer, error) {
-		s.loop.calls.drop(id)
+		s.loop.calls.Drop(id)
 		s.loop.inbox.Put(driver.Event{Kind: driver.EventLeft, Request: id})
 		return driver.Answer{}, err
 	}
