SIGHUP and the log's form stand once for both drivers' commands

Cause: the platform command had a copy of serve's loop round SIGHUP and of its log's encoder. Change: onHangup and logCore, called by both.

--- a/cmd/umberladder/platform.go
+++ b/cmd/umberladder/platform.go
@@ -1,11 +1,10 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
@@ -20,10 +19,11 @@
 		Short: "Run a driver on the shared platform, by the file that LB_CONFIG names, until SIGTERM",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			hup := make(chan os.Signal, 1)
-			signal.Notify(hup, syscall.SIGHUP)
-			defer signal.Stop(hup)
 			path := os.Getenv("LB_CONFIG")
+			log := zap.New(logCore(zapcore.NewConsoleEncoder, zapcore.InfoLevel))
+			defer log.Sync()
+			reloads := make(chan *platform.Config)
+			onHangup(cmd.Context(), func() { readAgain(cmd.Context(), path, reloads, log) })
 			if path == "" {
 				return errors.New("LB_CONFIG is not set: it names the driver's configuration file")
 			}
@@ -32,10 +32,6 @@
 				return err
 			}
 			cfg.Limit()
-			enc := zap.NewProductionEncoderConfig()
-			enc.EncodeTime = zapcore.ISO8601TimeEncoder
-			log := zap.New(zapcore.NewCore(zapcore.NewConsoleEncoder(enc), zapcore.Lock(os.Stderr), zapcore.InfoLevel))
-			defer log.Sync()
 			var trace func(string, ...any)
 			if os.Getenv("UMBERLADDER_TRACE") != "" {
 				trace = log.Sugar().Infof
@@ -44,33 +40,20 @@
 			if err != nil {
 				return fmt.Errorf("configuration %s: %w", path, err)
 			}
-			return d.Run(cmd.Context(), reloads(cmd, path, hup, log))
+			return d.Run(cmd.Context(), reloads)
 		},
 	}
 }
 
-// reloads reads the configuration again at each SIGHUP. A file with a mistake changes nothing.
-func reloads(cmd *cobra.Command, path string, hup <-chan os.Signal, log *zap.Logger) <-chan *platform.Config {
-	out := make(chan *platform.Config)
-	go func() {
-		defer close(out)
-		for {
-			select {
-			case <-cmd.Context().Done():
-				return
-			case <-hup:
-			}
-			cfg, err := platform.ReadConfig(path)
-			if err != nil {
-				log.Error("configuration is not taken, the old one stays: " + err.Error())
-				continue
-			}
-			select {
-			case out <- cfg:
-			case <-cmd.Context().Done():
-				return
-			}
-		}
-	}()
-	return out
+// readAgain hands on a changed configuration. A file with a mistake changes nothing.
+func readAgain(ctx context.Context, path string, reloads chan<- *platform.Config, log *zap.Logger) {
+	cfg, err := platform.ReadConfig(path)
+	if err != nil {
+		log.Error("configuration is not taken, the old one stays: " + err.Error())
+		return
+	}
+	select {
+	case reloads <- cfg:
+	case <-ctx.Done():
+	}
 }
--- a/cmd/umberladder/serve.go
+++ b/cmd/umberladder/serve.go
@@ -42,35 +42,42 @@
 			if err != nil {
 				return err
 			}
-			go reload(cmd.Context(), args[0], srv, log)
+			onHangup(cmd.Context(), func() { reload(args[0], srv, log) })
 			return srv.Run(cmd.Context())
 		},
 	}
 }
 
-// reload takes the nodes of a changed file at each SIGHUP. A file with a mistake changes nothing.
-func reload(ctx context.Context, path string, srv *server.Server, log *zap.Logger) {
+// onHangup has f called at each SIGHUP from now on, one call at a time, until ctx ends.
+func onHangup(ctx context.Context, f func()) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-		}
-		s, err := settings.Read(path)
-		if err != nil {
-			log.Error("settings are not taken, the old ones stay: " + err.Error())
-			continue
-		}
-		if err := srv.ReloadKeys(); err != nil {
-			log.Error("token keys are not taken, the old ones stay: " + err.Error())
-		}
-		if len(s.Inventory) == 0 {
-			srv.SetNodes(s.Nodes)
-			log.Info("nodes read again", zap.Int("nodes", len(s.Nodes)))
+	go func() {
+		defer signal.Stop(hup)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hup:
+				f()
+			}
 		}
+	}()
+}
+
+// reload takes the nodes of a changed file. A file with a mistake changes nothing.
+func reload(path string, srv *server.Server, log *zap.Logger) {
+	s, err := settings.Read(path)
+	if err != nil {
+		log.Error("settings are not taken, the old ones stay: " + err.Error())
+		return
+	}
+	if err := srv.ReloadKeys(); err != nil {
+		log.Error("token keys are not taken, the old ones stay: " + err.Error())
+	}
+	if len(s.Inventory) == 0 {
+		srv.SetNodes(s.Nodes)
+		log.Info("nodes read again", zap.Int("nodes", len(s.Nodes)))
 	}
 }
 
@@ -80,19 +87,24 @@
 	if err != nil {
 		return nil, err
 	}
-	enc := zap.NewProductionEncoderConfig()
-	enc.EncodeTime = zapcore.ISO8601TimeEncoder
-	encoder := zapcore.NewConsoleEncoder(enc)
+	encoder := zapcore.NewConsoleEncoder
 	if s.LogFormat == "json" {
-		encoder = zapcore.NewJSONEncoder(enc)
+		encoder = zapcore.NewJSONEncoder
 	}
-	core := zapcore.NewCore(encoder, zapcore.Lock(os.Stderr), level)
+	core := logCore(encoder, level)
 	if s.LogRepeat > 0 {
 		core = zapcore.NewSamplerWithOptions(core, s.LogRepeat, 1, 0)
 	}
 	return zap.New(core), nil
 }
 
+// logCore writes lines of a level or above to standard error, with times that people read.
+func logCore(encoder func(zapcore.EncoderConfig) zapcore.Encoder, level zapcore.Level) zapcore.Core {
+	enc := zap.NewProductionEncoderConfig()
+	enc.EncodeTime = zapcore.ISO8601TimeEncoder
+	return zapcore.NewCore(encoder(enc), zapcore.Lock(os.Stderr), level)
+}
+
 func checkCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "check CONFIG",
