--- a/internal/wire/json.go
+++ b/internal/wire/json.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"umberladder/balance"
 )
@@ -70,7 +71,5 @@
 // List is a setting of plain values.
 func (v Values) List(key string) []string { return (&settings{values: v}).list(key) }
 
-// Number is a setting of one number, or what holds where it is absent or unusable.
-func (v Values) Number(key string, absent float64) float64 {
-	return (&settings{values: v}).number(key, absent)
-}
+// Time is a setting in milliseconds; 0 where it is absent or unusable.
+func (v Values) Time(key string) time.Duration { return (&settings{values: v}).time(key) }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -10,15 +10,15 @@
 	"umberladder/balance"
 )
 
-// settings is the path=value table of a start record; the first unusable value is kept in err.
+// settings reads values; the first unusable one is kept in err.
 type settings struct {
-	values map[string]string
+	values Values
 	err    error
 }
 
 // ParseSettings reads the start settings and the order of the report's values. Unknown keys are skipped.
 func ParseSettings(text string) (balance.Config, []string, error) {
-	s := &settings{values: map[string]string{}}
+	v := Values{}
 	for n, line := range strings.Split(text, "\n") {
 		if strings.TrimSpace(line) == "" {
 			continue
@@ -27,10 +27,10 @@
 		if !ok {
 			return balance.Config{}, nil, fmt.Errorf("settings line %d: no '='", n+1)
 		}
-		s.values[key] = strings.TrimSuffix(value, "\r")
+		v[key] = strings.TrimSuffix(value, "\r")
 	}
-	cfg := s.config()
-	return cfg, s.list("feedback.fields"), s.err
+	cfg, err := v.Config()
+	return cfg, v.List("feedback.fields"), err
 }
 
 func (s *settings) config() balance.Config {
@@ -138,13 +138,13 @@
 }
 
 func (s *settings) time(key string) time.Duration {
-	t, _ := millis(s.number(key, 0))
+	t, _ := Millis(s.number(key, 0))
 	return t
 }
 
 func (s *settings) parseTime(key, text string) time.Duration {
 	v, err := strconv.ParseFloat(text, 64)
-	t, ok := millis(v)
+	t, ok := Millis(v)
 	if err != nil || !ok {
 		s.fail(key, strconv.Quote(text)+" is no time")
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -97,7 +97,7 @@
 	if size > maxFrame {
 		return 0, nil, fmt.Errorf("frame header: size %d out of range", size)
 	}
-	now, ok := millis(clock)
+	now, ok := Millis(clock)
 	if !ok {
 		return 0, nil, fmt.Errorf("frame header: clock %v is not a time", clock)
 	}
@@ -359,7 +359,7 @@
 
 func (c *cursor) time() time.Duration {
 	ms := c.f64()
-	t, ok := millis(ms)
+	t, ok := Millis(ms)
 	if !ok && c.err == nil {
 		c.err = fmt.Errorf("%v is not a time", ms)
 	}
@@ -399,8 +399,8 @@
 	return rep
 }
 
-// millis turns wire milliseconds into a time; the simulator counts whole microseconds.
-func millis(ms float64) (time.Duration, bool) {
+// Millis turns milliseconds into a time in whole microseconds, as the simulator counts; false if they are none.
+func Millis(ms float64) (time.Duration, bool) {
 	if math.IsNaN(ms) || math.Abs(ms) > 9e12 {
 		return 0, false
 	}
