--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -299,6 +299,26 @@
 	}
 }
 
+// TestOvertakenWritesTakeNoRoom has as many of them at a server as it may hold.
+func TestOvertakenWritesTakeNoRoom(t *testing.T) {
+	g := newRig(t, baseConfig(), 1)
+	g.ready(1)
+	s := g.r.servers[1]
+	s.limit = 3
+	g.ask(1, write)
+	g.ask(2, write)
+	g.now += 5 * ms
+	g.ask(3, write)
+	g.now += 20 * ms
+	g.end(3, 0, 1, OutcomeOK, RolePrimary)
+	s.limit = 1 // room for two writes
+	g.ask(4, write)
+	g.wantTries(4)
+	g.run(time.Second)
+	g.report(1, true, ms)
+	g.wantTries(4, 1)
+}
+
 func TestSessionSeesAWriteWhoseClientLeft(t *testing.T) {
 	cfg := baseConfig()
 	cfg.RouterTokens = true
