--- a/balance/balance.go
+++ b/balance/balance.go
@@ -380,7 +380,7 @@
 		return
 	case rep.HasRole && rep.Primary:
 		r.claims(s, at)
-	case rep.HasRole && s.group.primary == s && at > s.group.claim:
+	case rep.HasRole && s.group.primary == s && at >= s.group.claim: // a deposed one stands where it last claimed
 		s.group.primary = nil
 	}
 	s.stands(at, r.now)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -348,6 +348,24 @@
 	g.wantTries(2)
 }
 
+// TestADeposedPrimaryDeniesAtThePositionItClaimed: where it stops applying it stands at its last claim for good, so a report
+// of the same position is no older than the claim.
+func TestADeposedPrimaryDeniesAtThePositionItClaimed(t *testing.T) {
+	g := newRig(t, baseConfig(), 3)
+	g.ready(3)
+	claimed := g.now
+	g.run(time.Second) // so that no replica is proven to be within the bound
+	g.report(1, false, g.now-claimed+10*ms)
+	g.ask(1, bounded)
+	g.run(50 * ms)
+	g.wantTries(1)
+	for _, v := range g.r.Views(nil) {
+		if v.Primary {
+			t.Errorf("server %d is still taken for the primary", v.Server)
+		}
+	}
+}
+
 func TestLongLoneRequestIsNotTakenForSilence(t *testing.T) {
 	g := newRig(t, baseConfig(), 3)
 	g.ready(3)
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 
+	"golang.org/x/sys/unix"
+
 	"umberladder/pgwire"
 )
 
@@ -64,6 +66,30 @@
 	return err == nil && quiet
 }
 
+// HungUp tells whether the peer ended or broke the connection, also where bytes that it sent before are still unread.
+func (s *Socket) HungUp() bool {
+	hungUp := false
+	if s.raw != nil {
+		s.raw.Control(func(fd uintptr) { hungUp = isHungUp(fd) })
+	}
+	return hungUp
+}
+
+// AwaitHangup waits, reading nothing, until the peer ended or broke the connection, or until the read deadline: an error
+// that wraps os.ErrDeadlineExceeded. net.ErrClosed is what it tells of a socket that was closed here.
+func (s *Socket) AwaitHangup() error {
+	if s.raw == nil {
+		return errors.ErrUnsupported
+	}
+	return s.raw.Read(isHungUp)
+}
+
+func isHungUp(fd uintptr) bool {
+	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(p, 0)
+	return err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // Shut ends the connection for its peer and for what reads it here, before it returns and without waiting for that. The
 // socket itself is left to Close.
 func (s *Socket) Shut() {
@@ -81,7 +107,7 @@
 	s.Close()
 }
 
-// EndWriting ends the sending side: the peer hears the end once it has read what was sent.
+// EndWriting half-closes the connection: the peer hears the end once it has read what was sent.
 func (s *Socket) EndWriting() {
 	if s.raw != nil {
 		s.raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_WR) })
