--- a/cmd/umberladder/platform.go
+++ b/cmd/umberladder/platform.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
@@ -23,7 +24,9 @@
 			log := zap.New(logCore(zapcore.NewConsoleEncoder, zapcore.InfoLevel))
 			defer log.Sync()
 			reloads := make(chan *platform.Config)
-			onHangup(cmd.Context(), func() { readAgain(cmd.Context(), path, reloads, log) })
+			life, end := context.WithCancel(context.WithoutCancel(cmd.Context())) // it outlasts SIGTERM: the stop takes a while
+			defer end()
+			onHangup(life, func() { readAgain(life, path, reloads, log) })
 			if path == "" {
 				return errors.New("LB_CONFIG is not set: it names the driver's configuration file")
 			}
@@ -45,12 +48,28 @@
 	}
 }
 
+// How often, and how long after the time before, a configuration that can't be read is read again: it may be half written.
+const (
+	rereads     = 10
+	rereadAfter = 100 * time.Millisecond
+)
+
 // readAgain hands on a changed configuration. A file with a mistake changes nothing.
 func readAgain(ctx context.Context, path string, reloads chan<- *platform.Config, log *zap.Logger) {
 	cfg, err := platform.ReadConfig(path)
 	if err != nil {
 		log.Error("configuration is not taken, the old one stays: " + err.Error())
-		return
+	}
+	for n := 0; err != nil; n++ {
+		select {
+		case <-time.After(rereadAfter):
+		case <-ctx.Done():
+			return
+		}
+		if n == rereads {
+			return
+		}
+		cfg, err = platform.ReadConfig(path)
 	}
 	select {
 	case reloads <- cfg:
--- a/cmd/umberladder/serve.go
+++ b/cmd/umberladder/serve.go
@@ -48,12 +48,12 @@
 	}
 }
 
-// onHangup has f called at each SIGHUP from now on, one call at a time, until ctx ends.
+// onHangup has f called at each SIGHUP from now on, one call at a time, until ctx ends. One that comes later does nothing: it
+// must not end a process that is still serving what it took.
 func onHangup(ctx context.Context, f func()) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(hup)
 		for {
 			select {
 			case <-ctx.Done():
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 
@@ -66,6 +67,30 @@
 	return err == nil && quiet
 }
 
+// AcceptNow is the next connection that the system has accepted for a TCP listener; an error if there is none yet.
+func AcceptNow(l net.Listener) (net.Conn, error) {
+	sc, ok := l.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	conn := -1
+	if e := raw.Control(func(fd uintptr) {
+		conn, _, err = syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+	}); e != nil {
+		err = e
+	}
+	if err != nil {
+		return nil, err
+	}
+	f := os.NewFile(uintptr(conn), "")
+	defer f.Close() // FileConn has one of its own
+	return net.FileConn(f)
+}
+
 // HungUp tells whether the peer ended or broke the connection, also where bytes that it sent before are still unread.
 func (s *Socket) HungUp() bool {
 	hungUp := false
