--- a/balance/api.go
+++ b/balance/api.go
@@ -123,6 +123,11 @@
 	OutcomeMiss
 )
 
+// NeverRan tells whether an outcome proves that nothing ran.
+func (o Outcome) NeverRan() bool {
+	return o == OutcomeFull || o == OutcomeConnectFailed || o == OutcomeMoot || o == OutcomeMiss
+}
+
 // Life is the state the list gives a server.
 type Life uint8
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -60,12 +60,13 @@
 	held, all      []*request
 	sweeping       []*group
 	sessions       map[uint64]time.Duration
-	floor          time.Duration // the newest commit among forgotten sessions
-	budget         float64       // for resends
-	interval, idle time.Duration // between polls: where work waits; where answers or nothing need them
-	reap, reapedAt time.Duration // connections idle for longer are taken for dropped; when that was learned
-	scarce         time.Duration // until when servers are taken to accept few connections
-	kick           bool          // something changed that may let held requests go
+	writes         map[uint64]int // attempts that are out of each session's writes
+	floor          time.Duration  // the newest commit among forgotten sessions
+	budget         float64        // for resends
+	interval, idle time.Duration  // between polls: where work waits; where answers or nothing need them
+	reap, reapedAt time.Duration  // connections idle for longer are taken for dropped; when that was learned
+	scarce         time.Duration  // until when servers are taken to accept few connections
+	kick           bool           // something changed that may let held requests go
 
 	sweepGap, swept, pruned, askAt, armed time.Duration
 	turn, token                           uint64
@@ -112,13 +113,11 @@
 	polled, polling         bool          // answered a poll since it last failed; one is out
 	reset, unreached        bool          // a connection broke, or none could be had; no poll since
 	polledAt, nextPoll      time.Duration
-	fails                   int
 	out                     []flight
-	limit                   float64
 	cutAt, answered, failed time.Duration // failed: when an attempt last went unanswered
 	met, latest             time.Duration // when it last answered a poll; the newest send that it answered
-	conns                   int           // connections that it is taken to have open
-	credit                  float64       // sends it may have while cold
+	fails, conns            int           // conns: connections that it is taken to have open
+	limit, credit           float64       // credit: sends it may have while cold
 	turn                    uint64
 }
 
@@ -163,7 +162,7 @@
 	r := &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed)), servers: map[ServerID]*server{},
 		groups: map[int]*group{}, open: map[RequestID]*request{}, sessions: map[uint64]time.Duration{},
 		interval: interval, idle: idle, sweepGap: max(cfg.Round, least/25), askAt: math.MaxInt64,
-		turn: math.MaxUint32, budget: retryBurst * float64(interval) / float64(idle)}
+		turn: math.MaxUint32, budget: retryBurst * float64(interval) / float64(idle), writes: map[uint64]int{}}
 	if cfg.AskList {
 		r.askAt = math.MinInt64
 	}
@@ -380,7 +379,7 @@
 		return
 	case rep.HasRole && rep.Primary:
 		r.claims(s, at)
-	case rep.HasRole && s.group.primary == s && at >= s.group.claim: // a deposed one stands where it last claimed
+	case rep.HasRole && s.group.primary == s && at >= s.group.claim: // deposed, it stands where it claimed
 		s.group.primary = nil
 	}
 	s.stands(at, r.now)
@@ -454,7 +453,9 @@
 	q := &request{id: e.Request, class: &r.cfg.Classes[e.Class], group: r.groupOf(e.Group), key: e.Key,
 		arrived: r.now, deadline: e.Deadline, after: -1}
 	if q.class.Need == NeedSession && r.cfg.RouterTokens {
-		q.need = max(r.floor, r.sessions[e.Key])
+		if q.need = max(r.floor, r.sessions[e.Key]); r.writes[e.Key] > 0 {
+			q.need = r.now // one may have run already, and its answer be lost
+		}
 	} else if q.class.Need == NeedSession && e.SinceWrite > 0 {
 		q.need = r.now - e.SinceWrite
 	}
@@ -498,6 +499,9 @@
 	if q.out == 0 && !q.ran {
 		q.since, q.zone = r.now, s.zone
 	}
+	if q.class.Need == NeedWrite {
+		r.writes[q.key]++
+	}
 	s.out = append(s.out, flight{q.id, q.sends, r.now, r.freshen(s)})
 	r.acts = append(r.acts, Action{Kind: ActionTry, Request: q.id, Server: s.id})
 	q.sends, q.out, q.last, q.sent, q.pulled = q.sends+1, q.out+1, s, r.now, false
@@ -766,27 +770,28 @@
 		return
 	}
 	r.stir(q.group)
-	if q.out--; e.Outcome == OutcomeOK && q.class.Need == NeedWrite && r.cfg.RouterTokens {
-		commit := r.now
-		if e.Position > 0 {
-			commit = r.cfg.Origin + e.Position
+	if q.out--; q.class.Need == NeedWrite {
+		if r.writes[q.key]--; r.writes[q.key] == 0 {
+			delete(r.writes, q.key)
+		}
+		if commit := r.now; r.cfg.RouterTokens && !e.Outcome.NeverRan() { // it may have, without an answer
+			if e.Outcome == OutcomeOK && e.Position > 0 {
+				commit = r.cfg.Origin + e.Position
+			}
+			r.sessions[q.key] = max(r.sessions[q.key], commit)
 		}
-		r.sessions[q.key] = max(r.sessions[q.key], commit)
 	}
 	if e.Settled || q.done {
 		r.close(q)
 		return
 	}
-	switch e.Outcome {
-	case OutcomeFull, OutcomeConnectFailed, OutcomeMoot, OutcomeMiss:
+	if q.ran = q.ran || !e.Outcome.NeverRan(); e.Outcome.NeverRan() {
 		q.missed = q.missed || e.Outcome == OutcomeMiss
 		q.full = e.Outcome == OutcomeFull
 		if q.class.Need == NeedWrite {
 			q.after = r.now
 			r.hurry(q.group, 0)
 		}
-	default:
-		q.ran = true
 	}
 	if q.out == 0 {
 		r.again(q)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -338,6 +338,56 @@
 	g.wantTries(3, 2)
 }
 
+// TestSessionSeesAWriteThatMayHaveRun reads what a session wrote while its write is out, and after it was lost without an
+// answer: it may have run, so no replica will do that is not proven to be past it.
+func TestSessionSeesAWriteThatMayHaveRun(t *testing.T) {
+	for name, lose := range map[string]func(g *rig){
+		"out":   func(*rig) {},
+		"reset": func(g *rig) { g.end(1, 0, 1, OutcomeReset, RoleUnknown); g.report(1, true, 10*ms) },
+		"not in time, its client gone": func(g *rig) {
+			g.step(Event{Kind: EventAborted, Request: 1})
+			g.end(1, 0, 1, OutcomeTimeout, RoleUnknown)
+		},
+	} {
+		cfg := baseConfig()
+		cfg.RouterTokens = true
+		g := newRig(t, cfg, 2)
+		g.ready(2)
+		g.ask(1, write)
+		g.now += 100 * ms
+		g.report(2, false, 10*ms)
+		g.now += 50 * ms
+		lose(g)
+		lost := g.now
+		g.ask(2, session)
+		g.run(30 * ms)
+		if got := g.tries[2]; len(got) > 0 && got[0] == 2 {
+			t.Errorf("%s: the read went to a replica that is not proven to have the write", name)
+		}
+		g.run(50 * ms)
+		g.report(2, false, g.now-lost-ms)
+		g.ask(3, session)
+		if name != "out" {
+			g.wantTries(3, 2)
+		}
+		if name == "not in time, its client gone" && len(g.r.writes) != 0 {
+			t.Errorf("%d writes count as out", len(g.r.writes))
+		}
+	}
+}
+
+// TestSessionMustNotSeeAWriteThatNeverRan: a refusal binds no read.
+func TestSessionMustNotSeeAWriteThatNeverRan(t *testing.T) {
+	cfg := baseConfig()
+	cfg.RouterTokens = true
+	g := newRig(t, cfg, 2)
+	g.ready(2)
+	g.ask(1, write)
+	g.end(1, 0, 1, OutcomeFull, RoleUnknown)
+	g.ask(2, session)
+	g.wantTries(2, 2)
+}
+
 func TestAnswerAsReplicaEndsTheRole(t *testing.T) {
 	g := newRig(t, baseConfig(), 2)
 	g.ready(2)
--- a/driver/conns.go
+++ b/driver/conns.go
@@ -387,11 +387,7 @@
 		a.node.queue = slices.DeleteFunc(a.node.queue, func(w *attempt) bool { return w == a })
 	}
 	q := a.request
-	switch ev.Outcome {
-	case balance.OutcomeFull, balance.OutcomeConnectFailed, balance.OutcomeMoot, balance.OutcomeMiss:
-	default:
-		a.ran = true
-	}
+	a.ran = a.ran || !ev.Outcome.NeverRan()
 	e.goes(a, over)
 	if q.out--; q.out == 0 && !q.done {
 		q.slice.waiting++
