Breaks of session guarantees name the node, its place and what the token asked for

Change: each operation of a break is printed with node, role, place, the token's place and transaction id, and the stand-in's record of a read says below which transaction all were over on its node.

--- a/lab/audit.go
+++ b/lab/audit.go
@@ -1,11 +1,15 @@
 package lab
 
 import (
+	"fmt"
 	"time"
 
 	"umberladder/balance"
 	"umberladder/lab/history"
+	"umberladder/position"
 	pb "umberladder/proto/umberladder/v1"
+	"umberladder/standin"
+	"umberladder/token"
 )
 
 // History is what clients saw of a fleet's data, with the order in which it entered the slices' logs.
@@ -20,6 +24,12 @@
 			h.Versions = append(h.Versions, history.Version{Slice: g.Name, Key: c.Key, Value: c.Value, Lost: true})
 		}
 	}
+	statements := map[string][]standin.Statement{}
+	for _, s := range f.Trace.Statements() {
+		if s.Tag != "" {
+			statements[s.Tag] = append(statements[s.Tag], s)
+		}
+	}
 	var begin time.Time
 	for i := range calls {
 		if c := &calls[i]; begin.IsZero() || c.Sent.Before(begin) {
@@ -28,12 +38,37 @@
 	}
 	for i := range calls {
 		if op, ok := f.operation(&calls[i], begin); ok {
+			op.Source = sourceOf(&calls[i], statements[op.ID])
 			h.Ops = append(h.Ops, op)
 		}
 	}
 	return h
 }
 
+// sourceOf tells who served a call: node, role and place as the driver told them, the place in the token that came
+// with the answer, and for each statement that ran which transactions its node showed then.
+func sourceOf(c *Call, statements []standin.Statement) string {
+	if c.Served == nil {
+		return ""
+	}
+	role := "replica"
+	if c.Served.Role == pb.Role_ROLE_PRIMARY {
+		role = "primary"
+	}
+	text := fmt.Sprintf("%s %s by %s at %v", role, c.Served.Node, c.Driver, position.Position{Timeline: c.Served.Timeline, LSN: c.Served.Lsn})
+	if tok, err := token.Parse(c.Token); err == nil {
+		if at, ok := tok.At(c.Slice); ok {
+			text += fmt.Sprintf(", token %v with transactions below %d", at, at.XID)
+		}
+	}
+	for _, s := range statements {
+		if s.Ran && s.Kind == standin.KindRead {
+			text += fmt.Sprintf(", ran at %s with log up to %v and all transactions below %d over", s.Node, s.Position, s.Over)
+		}
+	}
+	return text
+}
+
 // operation is a call as an operation on a key, false if it was none.
 func (f *Fleet) operation(c *Call, begin time.Time) (history.Op, bool) {
 	op := history.Op{ID: c.Tag, Session: c.Session, Slice: c.Slice, Key: c.Key, Begin: c.Sent.Sub(begin), End: c.Answered.Sub(begin),
--- a/lab/client.go
+++ b/lab/client.go
@@ -56,6 +56,7 @@
 	Broke    string        // the rule that it was found to break
 	After    []string      // tags of the session's writes that were served before
 	Served   *pb.Served
+	Token    string   // that came with the answer
 	Value    string   // of a read what it returned
 	Carries  []string // tags of the calls that its token covers
 }
@@ -279,7 +280,7 @@
 
 // heard keeps what came with an answer: its token, if that covers the one before or is a write's.
 func (s *session) heard(c *Call, res *pb.ExecuteResponse) {
-	c.Served = res.Served
+	c.Served, c.Token = res.Served, res.Token
 	if len(res.Rows) > 0 {
 		c.Value = res.Rows[0].Values[0].GetTextValue()
 	}
--- a/lab/history/history.go
+++ b/lab/history/history.go
@@ -47,6 +47,7 @@
 	Fresh   bool          // it must see the present
 	Bound   time.Duration // its data may be so old at the most; 0 for any age
 	Excused bool          // of a read: a node that had been primary answered, and nobody had been told that it no longer is
+	Source  string        // who answered and what the client was told of it; only printed, never judged
 }
 
 // Version is one value in a slice's log. Values are unique.
@@ -91,7 +92,11 @@
 	if o.Kind == Write {
 		what = fmt.Sprintf("write %s/%s = %q, %s", o.Slice, o.Key, o.Value, [...]string{"served", "refused", "end unknown"}[o.Ended])
 	}
-	return fmt.Sprintf("%8.3f to %8.3f  %s %s: %s", o.Begin.Seconds(), o.End.Seconds(), o.Session, o.ID, what)
+	line := fmt.Sprintf("%8.3f to %8.3f  %s %s: %s", o.Begin.Seconds(), o.End.Seconds(), o.Session, o.ID, what)
+	if o.Source != "" {
+		line += "  [" + o.Source + "]"
+	}
+	return line
 }
 
 // The rules, by their places in the result of Check.
--- a/standin/log.go
+++ b/standin/log.go
@@ -78,6 +78,7 @@
 	n       int
 	hidden  map[uint64]bool // by LSN
 	replica bool
+	over    uint64 // every transaction below it is over and shown
 }
 
 func (s *snapshot) at() position.Position {
@@ -104,7 +105,8 @@
 	age := n.age()
 	n.group.mu.Lock()
 	defer n.group.mu.Unlock()
-	return snapshot{group: n.group, branch: n.branch, n: n.branch.before(max(n.applied, n.shown), age), hidden: maps.Clone(n.hidden), replica: !n.believes}
+	return snapshot{group: n.group, branch: n.branch, n: n.branch.before(max(n.applied, n.shown), age), hidden: maps.Clone(n.hidden), replica: !n.believes,
+		over: n.over()}
 }
 
 // Commit is one write that a primary took, as its group remembers it.
@@ -427,6 +429,14 @@
 	case n.cfg.RemoteApply == 0:
 		return 0
 	}
+	return n.over()
+}
+
+// over is the transaction id below which all are over and shown on the node.
+func (n *Node) over() uint64 {
+	if !n.believes {
+		return n.branch.below(max(n.applied, n.shown))
+	}
 	lowest := n.group.xid
 	for xid := range n.active {
 		lowest = min(lowest, xid)
--- a/standin/sql.go
+++ b/standin/sql.go
@@ -249,7 +249,9 @@
 		return cutError{}
 	}
 	value, lsn, found := snap.value(p.arg(0))
-	s.note(st, func(st *Statement) { st.Ran, st.Position, st.Replica = true, snap.at(), snap.replica })
+	s.note(st, func(st *Statement) {
+		st.Ran, st.Position, st.Replica, st.Over = true, snap.at(), snap.replica, snap.over
+	})
 	if strings.Contains(f.prefix, "generate_series") {
 		return s.series(f, p)
 	}
--- a/standin/trace.go
+++ b/standin/trace.go
@@ -34,6 +34,7 @@
 	Code     string    // SQLSTATE of a refusal
 	Position position.Position
 	Replica  bool
+	Over     uint64 // of a read: every transaction below it is over and shown on the node; 0 for other statements
 }
 
 // Start is one start of a node's process.
