--- a/standin/log.go
+++ b/standin/log.go
@@ -340,12 +340,29 @@
 	g := n.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for run.ctx.Err() == nil && n.branch.timeline == at.Timeline && g.appliedBy(at) < n.cfg.RemoteApply {
+	for run.ctx.Err() == nil && n.branch.timeline == at.Timeline && (n.holding || g.appliedBy(at) < n.cfg.RemoteApply) {
 		g.moved.Wait()
 	}
 	return run.ctx.Err() == nil
 }
 
+// HoldCommits keeps commits that are logged from showing on the node and from being answered, until told otherwise:
+// the moment between a commit's record and the end of its transaction, made as long as a test wants it. Replicas
+// replay the record all the while.
+func (n *Node) HoldCommits(on bool) {
+	n.group.mu.Lock()
+	defer n.group.mu.Unlock()
+	n.holding = on
+	n.group.moved.Broadcast()
+}
+
+// OpenTransaction begins a transaction on the node that has written something and goes on until end is called. It
+// changes nothing that anybody reads.
+func (n *Node) OpenTransaction() (end func()) {
+	xid := n.begin()
+	return func() { n.end(xid, position.Position{}) }
+}
+
 // appliedBy counts the replicas that have replayed a place.
 func (g *Group) appliedBy(at position.Position) (count int) {
 	for _, m := range g.nodes {
--- a/standin/node.go
+++ b/standin/node.go
@@ -56,6 +56,7 @@
 	hidden    map[uint64]bool // by LSN: logged here and not visible yet
 	active    map[uint64]bool // transactions that are not over here
 	paused    bool            // its replay is
+	holding   bool            // logged commits do not show until it ends
 	believes  bool            // it takes itself for the primary
 	cluster   uint64          // that it is of, 0 for the group's
 	running   bool
