A primary serves only who saw no more transactions than it has ended

Cause: a commit's record is in the primary's log, and at replicas, before the primary ends the transaction and shows it. The driver compared places in the log, which count what is logged; it asked for transaction ids at the primary only where synchronous_standby_names is set, and took any other primary at the token's place for one that shows all.

A replica's token names each transaction that it may have shown (position.Transactions), and a primary serves it only if all of them are over there; one that tells nothing serves no such token. The oldest that runs at the replica was not shown and is excepted, so that one long transaction that writes changes nothing. Places that ask for the present keep the transactions (they were dropped), a primary's 'holds' names what it showed. Simulated nodes say that their commits show as they are logged; the plant lower-tokens takes the place alone. Platform sessions carry only their own writes' commits, which show at the primary before they are answered.

--- a/driver/bench_test.go
+++ b/driver/bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"umberladder/balance"
+	"umberladder/position"
 	"umberladder/token"
 )
 
@@ -158,7 +159,7 @@
 			tok := token.Token{}
 			for i := range slices {
 				p := at(12, 0x16b374d848+uint64(i))
-				p.XID = 987_654
+				p.Transactions = position.TransactionsBelow(987_654)
 				tok = tok.With(fmt.Sprintf("slice%d", i), p)
 			}
 			ring, err := token.NewKeyring(map[uint64][]byte{1: []byte("0123456789abcdef")}, 1)
--- a/driver/event.go
+++ b/driver/event.go
@@ -38,10 +38,10 @@
 // Facts is what a node told of itself in one answer.
 type Facts struct {
 	Known    bool
-	Replica  bool              // in recovery
-	Position position.Position // of a primary, XID is 0 unless it told below which transactions all are shown
-	Received uint64            // of a replica: the log that it has, replayed or not; 0 if not told
-	Shown    uint64            // of a replica: no transaction at or above it was shown
+	Replica  bool                  // in recovery
+	Position position.Position     // of a primary, its transactions are those that it told to be over, none if it did not
+	Received uint64                // of a replica: the log that it has, replayed or not; 0 if not told
+	Shown    position.Transactions // of a replica: those that it may have shown; none if not told
 	// Forks are where older timelines were left: of each one the last place that its successor kept.
 	Forks    []position.Position
 	System   uint64 // the cluster's identifier; 0 if not told
--- a/driver/facts.go
+++ b/driver/facts.go
@@ -231,23 +231,26 @@
 // covers tells whether a node that stands where f says has, and shows, what need asks for. A place of an older
 // timeline that survived lies before the promotion, and so in every member of the newer one that has come as far.
 func covers(f Facts, need position.Position) bool {
+	stand := f.stand()
 	switch {
 	case need.IsZero():
 		return true
 	case need.IsPresent():
-		return !f.Replica
+		return !f.Replica && stand.Transactions.Covers(need.Transactions)
 	case need.LSN == position.Unknown:
-		return !f.Replica && f.Position.Timeline >= need.Timeline
+		return !f.Replica && f.Position.Timeline >= need.Timeline && stand.Transactions.Covers(need.Transactions)
 	}
-	return f.stand().Covers(need)
+	return stand.Covers(need)
 }
 
-// stand is the place with how far transactions are shown. A primary shows all of them that are over, but where a
-// commit waits for synchronous standbys; there it tells how far.
+// stand is the place with the transactions that are shown there. A replica shows all that its log has up to its place.
+// A primary does not: between a commit's record and the end of its transaction, microseconds on most servers and as
+// long as synchronous standbys take on others, replicas may show a commit that the primary does not. So a primary
+// shows no more than the transactions that it told to be over, and none that a replica may have shown if it told nothing.
 func (f *Facts) stand() position.Position {
 	at := f.Position
-	if f.Replica || at.XID == 0 {
-		at.XID = position.AllXIDs
+	if f.Replica {
+		at.Transactions = position.AllTransactions
 	}
 	return at
 }
@@ -270,10 +273,10 @@
 func (f *Facts) Shows() position.Position {
 	at := f.Position
 	if !f.Replica {
-		at.XID = 0
+		at.Transactions = position.Transactions{}
 		return at
 	}
-	at.XID = f.Shown
+	at.Transactions = f.Shown
 	if f.Received > at.LSN {
 		at.LSN++ // the least place of whoever has replayed the record that begins here
 	}
--- a/driver/seen_test.go
+++ b/driver/seen_test.go
@@ -62,8 +62,8 @@
 // yet. The primary serves whoever saw it once every transaction up to there is over, and not before.
 func TestShownBeforeThePrimary(t *testing.T) {
 	saw := replica(at(1, 1000))
-	saw.Shown = 701
-	waits := primary(position.Position{Timeline: 1, LSN: 1000, XID: 700})
+	saw.Shown = position.TransactionsBelow(701)
+	waits := primary(position.Position{Timeline: 1, LSN: 1000, Transactions: position.TransactionsBelow(700)})
 	r := newRig(t, testConfig(), map[string]Facts{"p": waits, "r1": saw, "r2": saw})
 	_, a := r.readAt(classOwn, token.Token{}, saw, saw)
 	id := r.ask(classDesk, a.Token) // only the primary takes it
@@ -72,7 +72,7 @@
 	if len(r.answers[id]) > 0 {
 		t.Fatalf("served by a primary that shows less: %+v", r.answers[id])
 	}
-	over := primary(position.Position{Timeline: 1, LSN: 1000, XID: 701})
+	over := primary(position.Position{Timeline: 1, LSN: 1000, Transactions: position.TransactionsBelow(701)})
 	r.nodes["p"].facts = over
 	r.run(20 * ms)
 	if !r.isSent(id) {
@@ -160,3 +160,51 @@
 	}
 	r.quiet()
 }
+
+// TestUnknownPlaceKeepsTransactions: a token whose place is not known asks for the present, and for the transactions
+// that its session saw at a replica.
+func TestUnknownPlaceKeepsTransactions(t *testing.T) {
+	for _, at := range []position.Position{{Timeline: 1, LSN: position.Unknown}, position.Present} {
+		at.Transactions = position.TransactionsBelow(701)
+		waits := primary(position.Position{Timeline: 1, LSN: 1000, Transactions: position.TransactionsBelow(700)})
+		r := newRig(t, testConfig(), map[string]Facts{"p": waits, "r1": replica(position.Position{Timeline: 1, LSN: 1000})})
+		id := r.ask(classDesk, token.Token{}.With("news", at))
+		r.run(50 * ms)
+		r.result(r.sent(id), Result{Began: true, Done: true, Facts: waits, After: waits})
+		if len(r.answers[id]) > 0 && r.answers[id][0].Status == Served {
+			t.Errorf("%v: served by a primary that shows less", at)
+		}
+		r.quiet()
+	}
+}
+
+// TestPrimaryThatTellsNoTransactions: nothing is known of what it shows, so it does not serve who saw a replica's.
+func TestPrimaryThatTellsNoTransactions(t *testing.T) {
+	saw := replica(at(1, 1000))
+	saw.Shown = position.TransactionsBelow(701)
+	silent := primary(at(1, 1000))
+	r := newRig(t, testConfig(), map[string]Facts{"p": silent, "r1": saw, "r2": saw})
+	_, a := r.readAt(classOwn, token.Token{}, saw, saw)
+	id := r.ask(classDesk, a.Token)
+	r.run(50 * ms)
+	r.result(r.sent(id), Result{Began: true, Done: true, Facts: silent, After: silent})
+	if len(r.answers[id]) > 0 && r.answers[id][0].Status == Served {
+		t.Errorf("served: %+v", r.answers[id][0])
+	}
+	r.quiet()
+}
+
+// TestPrimaryHoldsWhatItShows: a cache must not hand a primary's answer to who saw a commit that it did not show.
+func TestPrimaryHoldsWhatItShows(t *testing.T) {
+	told := primary(position.Position{Timeline: 1, LSN: 1000, Transactions: position.TransactionsBelow(700)})
+	r := newRig(t, testConfig(), map[string]Facts{"p": told, "r1": replica(at(1, 1000)), "r2": replica(at(1, 1000))})
+	_, a := r.readAt(classDesk, token.Token{}, told, told)
+	holds, _ := a.Holds.At("news")
+	for below, want := range map[uint64]bool{700: true, 701: false} {
+		need := position.Position{Timeline: 1, LSN: 900, Transactions: position.TransactionsBelow(below)}
+		if holds.Covers(need) != want {
+			t.Errorf("%v covers %v: %v", holds, need, !want)
+		}
+	}
+	r.quiet()
+}
--- a/explore/model.go
+++ b/explore/model.go
@@ -288,7 +288,11 @@
 }
 
 func (w *World) facts(n *node) driver.Facts {
-	return driver.Facts{Known: true, Replica: !n.primary, Position: position.Position{Timeline: n.timeline, LSN: uint64(64 + n.applied)}, System: 7, Clock: w.now.Microseconds()}
+	f := driver.Facts{Known: true, Replica: !n.primary, Position: position.Position{Timeline: n.timeline, LSN: uint64(64 + n.applied)}, System: 7, Clock: w.now.Microseconds()}
+	if !f.Replica {
+		f.Position.Transactions = position.AllTransactions // here a commit shows as it is logged
+	}
+	return f
 }
 
 // sent takes an exchange onto its connection.
--- a/lab/audit.go
+++ b/lab/audit.go
@@ -58,7 +58,7 @@
 	text := fmt.Sprintf("%s %s by %s at %v", role, c.Served.Node, c.Driver, position.Position{Timeline: c.Served.Timeline, LSN: c.Served.Lsn})
 	if tok, err := token.Parse(c.Token); err == nil {
 		if at, ok := tok.At(c.Slice); ok {
-			text += fmt.Sprintf(", token %v with transactions below %d", at, at.XID)
+			text += fmt.Sprintf(", token %v with transactions below %d", at, at.Transactions.Below)
 		}
 	}
 	for _, s := range statements {
--- a/lab/client.go
+++ b/lab/client.go
@@ -18,6 +18,7 @@
 
 	"umberladder/balance"
 	"umberladder/carry"
+	"umberladder/position"
 	pb "umberladder/proto/umberladder/v1"
 	"umberladder/token"
 )
@@ -291,11 +292,22 @@
 	if write || c.Class.Need == balance.NeedSession || s.always {
 		s.tokens[c.Slice], s.covers[c.Slice] = res.Token, []string{c.Tag}
 		if s.plant == LowerTokens && !write {
-			s.tokens[c.Slice] = res.Holds
+			s.tokens[c.Slice] = placeOf(c.Slice, res.Holds)
 		}
 	}
 }
 
+// placeOf is a token for the place in the log alone that another text names.
+func placeOf(slice, holds string) string {
+	tok, err := token.Parse(holds)
+	at, ok := tok.At(slice)
+	if err != nil || !ok {
+		return ""
+	}
+	at.Transactions = position.Transactions{}
+	return token.Token{}.With(slice, at).String()
+}
+
 // handover is a copy of a session's tokens on its way to another.
 type handover struct{ tokens, covers map[string][]string }
 
--- a/lab/guarantees.go
+++ b/lab/guarantees.go
@@ -8,6 +8,7 @@
 
 	"umberladder/balance"
 	"umberladder/lab/history"
+	pb "umberladder/proto/umberladder/v1"
 	"umberladder/standin"
 )
 
@@ -69,13 +70,40 @@
 	time.Sleep(9 * time.Second)
 	r := d.finish()
 	r.Rules = r.Rules[:len(r.Rules)-1] // the values are judged one by one here
-	for _, rule := range history.Check(f.History(d.book.Calls())) {
+	calls := d.book.Calls()
+	r.Notes = append(r.Notes, readCounts(calls))
+	for _, rule := range history.Check(f.History(calls)) {
 		r.Rules = append(r.Rules, ruleOf(rule))
 	}
 	r.need(map[string]int{"read your writes": 100, "monotonic reads": 100, "causal order": 50, "bounded age": 100, "linearizable": 100})
 	return r, nil
 }
 
+// readCounts says where reads were served, and how many took more than one attempt.
+func readCounts(calls []Call) string {
+	served, refused, byPrimary, again := 0, 0, 0, 0
+	for i := range calls {
+		c := &calls[i]
+		if c.Class.Need == balance.NeedWrite {
+			continue
+		}
+		if c.Verdict == Refused {
+			refused++
+		}
+		if c.Verdict != Served || c.Served == nil {
+			continue
+		}
+		served++
+		if c.Served.Role == pb.Role_ROLE_PRIMARY {
+			byPrimary++
+		}
+		if c.Served.Attempts > 1 {
+			again++
+		}
+	}
+	return fmt.Sprintf("reads: served %d, of them by the primary %d and after further attempts %d; refused %d", served, byPrimary, again, refused)
+}
+
 // need says how many chances some rules must have had at the least.
 func (r *Report) need(least map[string]int) {
 	for _, rule := range r.Rules {
--- a/lab/world/node.go
+++ b/lab/world/node.go
@@ -110,6 +110,9 @@
 
 func (n *node) facts() driver.Facts {
 	f := driver.Facts{Known: true, Replica: n != n.slice.primary, Position: n.stands(), Clock: n.slice.w.now.Microseconds()}
+	if !f.Replica {
+		f.Position.Transactions = position.AllTransactions // here a commit shows as it is logged
+	}
 	if f.Replica && n.slice.lsn > f.Position.LSN {
 		f.Received = n.slice.lsn // at the most
 	}
--- a/position/position.go
+++ b/position/position.go
@@ -13,7 +13,6 @@
 package position
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"sort"
@@ -29,24 +28,20 @@
 // Present is a place that asks for the present of a slice, whatever its timeline is by then.
 var Present = Position{Timeline: math.MaxUint32, LSN: Unknown}
 
-// AllXIDs is above every transaction id.
-const AllXIDs = math.MaxUint64
-
-// Position is a place in the history of a slice: the timeline, the byte on it (PostgreSQL's LSN), and how far
-// transactions are visible. A replica shows just what it has replayed, so there the LSN says it all. A primary may
-// have a commit in its log that it does not show yet, while it waits for synchronous standbys: there every
-// transaction below XID is over and shown. The XID of a place that somebody asks for is above every transaction
-// that a replica showed them, 0 if none did. The zero Position is "none".
+// Position is a place in the history of a slice: the timeline, the byte on it (PostgreSQL's LSN), and transactions. A
+// replica shows just what it has replayed, so there the LSN says it all. A primary has each commit in its log before it
+// shows it, and replicas may show it meanwhile: there Transactions are those that are over and shown. Of a place that
+// somebody asks for they are those that a replica may have shown them, none if none did. The zero Position is "none".
 type Position struct {
-	Timeline uint32
-	LSN      uint64
-	XID      uint64 // PostgreSQL's full transaction id, with its epoch
+	Timeline     uint32
+	LSN          uint64
+	Transactions Transactions
 }
 
 // IsZero tells whether p is no place at all.
 func (p Position) IsZero() bool { return p == Position{} }
 
-// Compare sorts by timeline, then by LSN, then by XID. Covers is the order that tells who has seen more.
+// Compare sorts by timeline, then by LSN, then by transactions. Covers is the order that tells who has seen more.
 func (p Position) Compare(q Position) int {
 	switch {
 	case p.Timeline != q.Timeline:
@@ -59,7 +54,7 @@
 	case p.LSN > q.LSN:
 		return 1
 	}
-	return cmp.Compare(p.XID, q.XID)
+	return p.Transactions.Compare(q.Transactions)
 }
 
 // IsPresent tells whether p asks for the present.
@@ -69,17 +64,17 @@
 // by timeline and no earlier by LSN, and shows what q saw. The timeline alone does not tell: a replica that follows a newer timeline
 // may still replay the part that is shared with the older one.
 func (p Position) Covers(q Position) bool {
-	return p.Timeline >= q.Timeline && p.LSN >= q.LSN && p.XID >= q.XID
+	return p.Timeline >= q.Timeline && p.LSN >= q.LSN && p.Transactions.Covers(q.Transactions)
 }
 
 // Join is the least place that covers both.
 func (p Position) Join(q Position) Position {
-	return Position{Timeline: max(p.Timeline, q.Timeline), LSN: max(p.LSN, q.LSN), XID: max(p.XID, q.XID)}
+	return Position{Timeline: max(p.Timeline, q.Timeline), LSN: max(p.LSN, q.LSN), Transactions: p.Transactions.Union(q.Transactions)}
 }
 
 // Meet is the greatest place that both cover: what a page made of two reads of one slice holds.
 func (p Position) Meet(q Position) Position {
-	return Position{Timeline: min(p.Timeline, q.Timeline), LSN: min(p.LSN, q.LSN), XID: min(p.XID, q.XID)}
+	return Position{Timeline: min(p.Timeline, q.Timeline), LSN: min(p.LSN, q.LSN), Transactions: p.Transactions.Intersect(q.Transactions)}
 }
 
 // String writes PostgreSQL's form with the timeline in front: 2:16/B374D848.
--- a/position/position_test.go
+++ b/position/position_test.go
@@ -29,12 +29,12 @@
 	var h history
 	now, lsn := time.Duration(0), uint64(100)
 	for tl := uint32(1); tl <= uint32(rapid.IntRange(1, 3).Draw(t, "timelines")); tl++ {
-		h.promos = append(h.promos, promo{Position{tl, lsn, 0}, now})
+		h.promos = append(h.promos, promo{Position{Timeline: tl, LSN: lsn}, now})
 		fork := lsn
 		for range rapid.IntRange(1, 12).Draw(t, "commits") {
 			now += time.Duration(rapid.IntRange(1, 50).Draw(t, "gap"))
 			lsn += uint64(rapid.IntRange(1, 30).Draw(t, "bytes"))
-			h.commits = append(h.commits, commit{Position{tl, lsn, 0}, now})
+			h.commits = append(h.commits, commit{Position{Timeline: tl, LSN: lsn}, now})
 		}
 		if rapid.Bool().Draw(t, "loses") && lsn > fork {
 			lsn = fork + (lsn-fork)/2 // a promotion that lost commits
@@ -147,7 +147,7 @@
 			b.Primary(h.stood(1, when), when-3, when+5)
 		}
 		for lsn := uint64(90); lsn < 600; lsn += 7 {
-			p := Position{1, lsn, 0}
+			p := Position{Timeline: 1, LSN: lsn}
 			a1, aok := a.AppliedBy(p)
 			b1, bok := b.AppliedBy(p)
 			a2, aok2 := a.CommittedBy(p)
@@ -161,21 +161,21 @@
 
 func TestUnknownAsksForThePresent(t *testing.T) {
 	var c Clock
-	c.Primary(Position{1, 100, 0}, 10, 12)
-	if _, ok := c.CommittedBy(Position{1, Unknown, 0}); ok {
+	c.Primary(Position{Timeline: 1, LSN: 100}, 10, 12)
+	if _, ok := c.CommittedBy(Position{Timeline: 1, LSN: Unknown}); ok {
 		t.Error("a commit at an unknown place was bounded")
 	}
-	if _, ok := c.CommittedBy(Position{2, 50, 0}); ok {
+	if _, ok := c.CommittedBy(Position{Timeline: 2, LSN: 50}); ok {
 		t.Error("a commit on a timeline not seen was bounded")
 	}
-	c.Primary(Position{2, 110, 0}, 30, 33)
-	if by, ok := c.CommittedBy(Position{1, Unknown, 0}); !ok || by != 33 {
+	c.Primary(Position{Timeline: 2, LSN: 110}, 30, 33)
+	if by, ok := c.CommittedBy(Position{Timeline: 1, LSN: Unknown}); !ok || by != 33 {
 		t.Errorf("after the promotion it was made by %v, %v, want 33", by, ok)
 	}
-	if c.Primary(Position{1, 500, 0}, 40, 41) {
+	if c.Primary(Position{Timeline: 1, LSN: 500}, 40, 41) {
 		t.Error("a superseded primary was believed")
 	}
-	if _, ok := c.AppliedBy(Position{1, 500, 0}); ok {
+	if _, ok := c.AppliedBy(Position{Timeline: 1, LSN: 500}); ok {
 		t.Error("a member of the superseded timeline counts as proven")
 	}
 }
@@ -183,12 +183,12 @@
 func TestMemoryIsBounded(t *testing.T) {
 	var c Clock
 	for i := range 20 * maxPoints {
-		c.Primary(Position{1, uint64(i), 0}, time.Duration(i), time.Duration(i+1))
+		c.Primary(Position{Timeline: 1, LSN: uint64(i)}, time.Duration(i), time.Duration(i+1))
 	}
 	if len(c.lower) > maxPoints || len(c.upper) > maxPoints {
 		t.Fatalf("%d and %d points kept", len(c.lower), len(c.upper))
 	}
-	if by, _ := c.AppliedBy(Position{1, 20*maxPoints - 1, 0}); by != 20*maxPoints-1 {
+	if by, _ := c.AppliedBy(Position{Timeline: 1, LSN: 20*maxPoints - 1}); by != 20*maxPoints-1 {
 		t.Errorf("the newest bound is %v", by)
 	}
 }
@@ -210,7 +210,7 @@
 	var c Clock
 	for i := range b.N {
 		now := time.Duration(i)
-		c.Primary(Position{1, uint64(i), 0}, now, now+3)
-		c.AppliedBy(Position{1, uint64(i) / 2, 0})
+		c.Primary(Position{Timeline: 1, LSN: uint64(i)}, now, now+3)
+		c.AppliedBy(Position{Timeline: 1, LSN: uint64(i) / 2})
 	}
 }
--- a/server/exchange.go
+++ b/server/exchange.go
@@ -54,20 +54,19 @@
   ELSE ('x' || substr(pg_walfile_name(pg_current_wal_lsn()), 1, 8))::bit(32)::int END), 8, '0') || '.history', true)`
 
 // factsSQL asks an unmodified server whether it is in recovery, where it stands in the log and on which
-// timeline, how far transactions are visible, how much log a replica has received, and how transactions are isolated.
+// timeline, which transactions are over, how much log a replica has received, and how transactions are isolated.
 //
 // A primary tells the end of what was put into the log, written or not: commits with synchronous_commit off show
 // before they are written. It tells its timeline by the name of its present log file; a replica by what it
-// receives, or, while it receives nothing, by its last restart point. A primary with synchronous standbys tells
-// below which transaction all are over and visible; without them commits show as soon as they are in the log. The
+// receives, or, while it receives nothing, by its last restart point. The snapshot
+// tells which transactions are over: a replica may show a commit before its primary has ended the transaction. The
 // log received is asked for after the place replayed, so that what is being replayed counts as received.
 const factsSQL = `SELECT pg_is_in_recovery(),
  CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() ELSE pg_current_wal_insert_lsn() END,
  CASE WHEN pg_is_in_recovery()
   THEN coalesce((SELECT received_tli FROM pg_stat_wal_receiver), (SELECT timeline_id FROM pg_control_checkpoint()))
   ELSE ('x' || substr(pg_walfile_name(pg_current_wal_lsn()), 1, 8))::bit(32)::int END,
- CASE WHEN pg_is_in_recovery() THEN pg_snapshot_xmax(pg_current_snapshot())
-  WHEN current_setting('synchronous_standby_names') <> '' THEN pg_snapshot_xmin(pg_current_snapshot()) END,
+ pg_current_snapshot(),
  CASE WHEN pg_is_in_recovery() THEN pg_last_wal_receive_lsn() END, current_setting('transaction_isolation'),
  (extract(epoch FROM clock_timestamp()) * 1000000)::bigint`
 
@@ -77,7 +76,7 @@
 
 // Parameters by which a node may tell the same without being asked, with every ReadyForQuery that follows a
 // change. PostgreSQL reports the first by itself; the others take an extension that marks them for reports: the
-// timeline and place replayed or written as TIMELINE:LSN, the transaction id of factsSQL as a decimal number, and
+// timeline and place replayed or written as TIMELINE:LSN, the snapshot of factsSQL, and
 // for a replica the end of the record being replayed or, if that is not known, of the log received.
 const (
 	paramStandby  = "in_hot_standby"
@@ -368,7 +367,7 @@
 	colReplica = iota
 	colLSN
 	colTimeline
-	colXID
+	colSnapshot
 	colReceived
 	colIsolation
 	colClock
@@ -415,7 +414,7 @@
 	if f.Position.LSN, err = position.ParseLSN(string(row[colLSN])); err != nil {
 		return f, err
 	}
-	return f, takeVisible(&f, string(row[colXID]), string(row[colReceived]))
+	return f, takeVisible(&f, string(row[colSnapshot]), string(row[colReceived]))
 }
 
 // number reads a value that may be NULL, which counts as 0.
@@ -469,17 +468,17 @@
 	return f
 }
 
-// takeVisible reads how far transactions are visible, and how much log was received; both may be empty.
-func takeVisible(f *driver.Facts, xid, received string) (err error) {
-	if xid != "" {
-		id, err := strconv.ParseUint(xid, 10, 64)
+// takeVisible reads which transactions are over, and how much log was received; both may be empty.
+func takeVisible(f *driver.Facts, snapshot, received string) (err error) {
+	if snapshot != "" {
+		s, err := parseSnapshot(snapshot)
 		if err != nil {
-			return fmt.Errorf("transaction id %q: %w", xid, err)
+			return err
 		}
 		if f.Replica {
-			f.Shown = id
+			f.Shown = s.Shown()
 		} else {
-			f.Position.XID = id
+			f.Position.Transactions = s.Over()
 		}
 	}
 	if received != "" && f.Replica {
@@ -487,3 +486,12 @@
 	}
 	return err
 }
+
+// parseSnapshot reads a snapshot, or, as nodes that tell by parameters may put it, one transaction id: below which
+// all are over on a primary, and that a replica has shown nothing at or above.
+func parseSnapshot(text string) (position.Snapshot, error) {
+	if id, err := strconv.ParseUint(text, 10, 64); err == nil {
+		return position.Snapshot{Oldest: id, Next: id}, nil
+	}
+	return position.ParseSnapshot(text)
+}
--- a/server/visible_test.go
+++ b/server/visible_test.go
@@ -51,6 +51,9 @@
 //	s1-163: read slice1/shared0 -> "s10-156"  [replica db1-3 at 3:0/4C0, token 3:0/500 with transactions below 719]
 //	s1-164: read slice1/shared0 -> "s19-142"  [primary db1-0 at 3:0/500, ran with all transactions below 718 over]
 //
+// The replica's token asked for all transactions below 719, and the primary had ended those below 718. Now each node
+// tells its snapshot, and a primary serves such a token only if the transactions are over there.
+//
 // Here the primary holds the commit back until it is told to go on.
 func TestCommitShownByReplicaFirst(t *testing.T) {
 	bothWays(t, func(t *testing.T, node standin.Config) {
--- a/standin/log.go
+++ b/standin/log.go
@@ -8,7 +8,9 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -37,14 +39,22 @@
 	timeline uint32
 	records  []record
 	byKey    map[string][]int // places in records, rising
+	byXID    map[uint64]int   // where in records a transaction's commit was put
 }
 
 func (b *branch) add(r record) {
 	r.below = max(r.xid+1, b.below(len(b.records)))
 	b.byKey[r.key] = append(b.byKey[r.key], len(b.records))
+	b.byXID[r.xid] = len(b.records)
 	b.records = append(b.records, r)
 }
 
+// committed tells whether a transaction's commit is one of the first n records.
+func (b *branch) committed(xid uint64, n int) bool {
+	i, ok := b.byXID[xid]
+	return ok && i < n && b.records[i].xid == xid
+}
+
 // below is above every transaction of the first n records.
 func (b *branch) below(n int) uint64 {
 	if n == 0 {
@@ -53,9 +63,13 @@
 	return b.records[n-1].below
 }
 
+func newBranch(timeline uint32) *branch {
+	return &branch{timeline: timeline, byKey: map[string][]int{}, byXID: map[uint64]int{}}
+}
+
 // fork begins the next timeline after the first n records.
 func (b *branch) fork(n int) *branch {
-	next := &branch{timeline: b.timeline + 1, byKey: map[string][]int{}}
+	next := newBranch(b.timeline + 1)
 	for _, r := range b.records[:n] {
 		next.add(r)
 	}
@@ -142,7 +156,7 @@
 
 // NewGroup makes a slice without nodes. Repeats of an idempotency key are discarded for window.
 func NewGroup(name string, window time.Duration, trace *Trace) *Group {
-	g := &Group{Name: name, trace: trace, branch: &branch{timeline: 1, byKey: map[string][]int{}},
+	g := &Group{Name: name, trace: trace, branch: newBranch(1),
 		keyed: map[string]keyedRun{}, window: window, xid: firstXID}
 	g.moved = sync.NewCond(&g.mu)
 	g.forks = []position.Position{g.branch.at(0)}
@@ -437,16 +451,37 @@
 	return n.branch.at(at).LSN
 }
 
-// visible is the transaction id that a node tells: of a replica, above all that it shows; of a primary with
-// synchronous standbys, the lowest that is not over; 0 of any other.
-func (n *Node) visible() uint64 {
-	switch {
-	case !n.believes:
-		return n.branch.below(max(n.applied, n.shown))
-	case n.cfg.RemoteApply == 0:
-		return 0
+// snapshot is what pg_current_snapshot tells on the node: the lowest transaction that is not over, the first that has
+// not begun, and on a primary those between that run. A server in recovery does not list them.
+func (n *Node) snapshot() string {
+	if n.believes {
+		running := slices.Sorted(maps.Keys(n.active))
+		lowest := n.group.xid
+		list := make([]string, len(running))
+		for i, xid := range running {
+			lowest = min(lowest, xid)
+			list[i] = strconv.FormatUint(xid, 10)
+		}
+		return fmt.Sprintf("%d:%d:%s", lowest, n.group.xid, strings.Join(list, ","))
 	}
-	return n.over()
+	shown := max(n.applied, n.shown)
+	next := n.branch.below(shown)
+	return fmt.Sprintf("%d:%d:", n.oldest(shown, next), next)
+}
+
+// oldest is the lowest transaction below next that runs as far as a replica knows that has replayed the first records:
+// its commit is further on in the log, or the primary has not come to it.
+func (n *Node) oldest(replayed int, next uint64) uint64 {
+	lowest := next
+	for _, r := range n.branch.records[replayed:] {
+		lowest = min(lowest, r.xid)
+	}
+	for xid := range n.group.primary.active {
+		if !n.branch.committed(xid, replayed) {
+			lowest = min(lowest, xid)
+		}
+	}
+	return lowest
 }
 
 // over is the transaction id below which all are over and shown on the node.
--- a/standin/session.go
+++ b/standin/session.go
@@ -313,12 +313,12 @@
 func (s *session) ready() {
 	if s.node.cfg.Params {
 		f := s.node.facts()
-		if told := fmt.Sprintf("%v %s %d %d", f.replica, f.at, f.xid, f.received); told != s.told {
+		if told := fmt.Sprintf("%v %s %s %d", f.replica, f.at, f.snapshot, f.received); told != s.told {
 			s.told = told
 			standby := map[bool]string{true: "on", false: "off"}[f.replica]
 			s.out = pgwire.AppendParameterStatus(s.out, "in_hot_standby", standby)
 			s.out = pgwire.AppendParameterStatus(s.out, "umberladder.position", f.at.String())
-			s.out = pgwire.AppendParameterStatus(s.out, "umberladder.xid", numberOr(f.xid, ""))
+			s.out = pgwire.AppendParameterStatus(s.out, "umberladder.xid", f.snapshot)
 			s.out = pgwire.AppendParameterStatus(s.out, "umberladder.received", lsnText(f.received))
 		}
 	}
--- a/standin/snapshot_test.go
+++ b/standin/snapshot_test.go
@@ -5,8 +5,20 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+
+	"umberladder/position"
 )
 
+// snapshotTold is the snapshot that a node tells.
+func (n *Node) snapshotTold(t *testing.T) position.Snapshot {
+	t.Helper()
+	s, err := position.ParseSnapshot(n.facts().snapshot)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
 // put runs a write in a goroutine of its own and tells when it was answered.
 func put(t *testing.T, c *pgx.Conn, value string) <-chan error {
 	t.Helper()
@@ -59,14 +71,14 @@
 	if v := read(t, p, "a"); v != "" {
 		t.Errorf("the primary shows %q while a standby has not replayed it", v)
 	}
-	if shown, over := nodes[1].facts().xid, nodes[0].facts().xid; shown <= over {
+	if shown, over := nodes[1].snapshotTold(t).Next, nodes[0].snapshotTold(t).Oldest; shown <= over {
 		t.Errorf("the standby shows transactions below %d, on the primary all below %d are over", shown, over)
 	}
 	nodes[2].Pause(false)
 	if err := <-done; err != nil || read(t, p, "a") != "one" {
 		t.Errorf("%v, %q", err, read(t, p, "a"))
 	}
-	if shown, over := nodes[1].facts().xid, nodes[0].facts().xid; shown > over {
+	if shown, over := nodes[1].snapshotTold(t).Next, nodes[0].snapshotTold(t).Oldest; shown > over {
 		t.Errorf("after it: %d and %d", shown, over)
 	}
 }
--- a/standin/sql.go
+++ b/standin/sql.go
@@ -26,7 +26,7 @@
 
 var forms = []sqlForm{
 	{"select pg_is_in_recovery", KindFacts, []pgwire.Column{column("replica", pgwire.OIDBool, 1),
-		column("lsn", pgwire.OIDPgLSN, 8), column("timeline", pgwire.OIDInt4, 4), column("xid", pgwire.OIDText, -1),
+		column("lsn", pgwire.OIDPgLSN, 8), column("timeline", pgwire.OIDInt4, 4), column("snapshot", pgwire.OIDText, -1),
 		column("received", pgwire.OIDPgLSN, 8), column("isolation", pgwire.OIDText, -1), column("clock", pgwire.OIDInt8, 8)}, nil},
 	// The guard before a write: $1 is the least timeline, $2 the node's time until which it holds, $3 the cluster.
 	{"select 1/(case when not pg_is_in_recovery()", KindGuard, []pgwire.Column{column("x", pgwire.OIDInt4, 4)}, []uint32{pgwire.OIDInt4, pgwire.OIDInt8, pgwire.OIDInt8}},
@@ -98,14 +98,14 @@
 type facts struct {
 	replica  bool
 	at       position.Position
-	xid      uint64 // see visible
+	snapshot string
 	received uint64 // of a replica
 }
 
 func (n *Node) facts() facts {
 	n.group.mu.Lock()
 	defer n.group.mu.Unlock()
-	f := facts{replica: !n.believes, at: n.branch.at(n.applied), xid: n.visible()}
+	f := facts{replica: !n.believes, at: n.branch.at(n.applied), snapshot: n.snapshot()}
 	if f.replica {
 		f.received = n.received()
 	}
@@ -194,7 +194,7 @@
 		replica = "t"
 	}
 	lsn := lsnText(f.at.LSN)
-	values := []string{replica, lsn, strconv.FormatUint(uint64(f.at.Timeline), 10), numberOr(f.xid, null), null, map[bool]string{true: "repeatable read", false: "read committed"}[s.snap != nil],
+	values := []string{replica, lsn, strconv.FormatUint(uint64(f.at.Timeline), 10), f.snapshot, null, map[bool]string{true: "repeatable read", false: "read committed"}[s.snap != nil],
 		strconv.FormatInt(s.node.clock().UnixMicro(), 10)}
 	s.note(st, func(st *Statement) { st.Position, st.Replica, st.Ended = f.at, f.replica, time.Now() })
 	if f.replica {
@@ -215,14 +215,6 @@
 // null stands for a value that is NULL.
 const null = "\x00"
 
-// numberOr is a number's text, or another text for 0.
-func numberOr(n uint64, zero string) string {
-	if n == 0 {
-		return zero
-	}
-	return strconv.FormatUint(n, 10)
-}
-
 // lsnText is PostgreSQL's form of an LSN.
 func lsnText(lsn uint64) string {
 	_, text, _ := strings.Cut(position.Position{LSN: lsn}.String(), ":")
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -17,7 +17,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	n.cluster, n.believes = system, true
-	n.branch = &branch{timeline: timeline, byKey: map[string][]int{}}
+	n.branch = newBranch(timeline)
 	n.applied, n.shown, n.hidden, n.active = 0, 0, nil, nil
 }
 
--- a/token/token.go
+++ b/token/token.go
@@ -189,9 +189,13 @@
 	return out.bounded()
 }
 
-// add takes an entry that only one side names; where the other asks for the present, so does the join.
+// add takes an entry that only one side names; where the other asks for the present, so does the join, of the
+// transactions too that the entry names.
 func (t *Token) add(e entry, otherPresent bool) {
-	if !otherPresent {
+	if otherPresent {
+		e.at = e.at.Join(position.Present)
+	}
+	if e.at != position.Present {
 		t.entries = append(t.entries, e)
 	}
 }
@@ -204,7 +208,7 @@
 	}
 	for _, e := range need.entries {
 		i, ok := t.find(e.id)
-		if ok && !t.entries[i].at.Covers(e.at) || !ok && !t.present {
+		if ok && !t.entries[i].at.Covers(e.at) || !ok && !(t.present && position.Present.Covers(e.at)) {
 			return false
 		}
 	}
@@ -235,22 +239,55 @@
 		b = binary.AppendUvarint(b, uint64(e.at.Timeline))
 		b = binary.AppendUvarint(b, e.at.LSN)
 	}
-	return t.appendXIDs(b)
+	return t.appendExtensions(b)
 }
 
-// extXIDs is the extension that holds the XID of each place, in order. Versions before it pass over it.
-const extXIDs = 2
+// The extensions that hold the transactions of each place, in order of the slices: the id that all are below, and the
+// one below it that is excepted, 0 for none. Versions that do not know an extension pass over it; one that knows only
+// the first takes the exception for shown, which asks for more.
+const (
+	extBelow  = 2
+	extExcept = 6
+)
+
+func belowOf(e *entry) *uint64  { return &e.at.Transactions.Below }
+func exceptOf(e *entry) *uint64 { return &e.at.Transactions.Except }
+
+// appendExtensions appends the number of extensions and each that says anything.
+func (t Token) appendExtensions(b []byte) []byte {
+	below, except := t.column(belowOf), t.column(exceptOf)
+	count := byte(0)
+	for _, column := range [][]byte{below, except} {
+		if column != nil {
+			count++
+		}
+	}
+	b = append(b, count)
+	b = appendExtension(b, extBelow, below)
+	return appendExtension(b, extExcept, except)
+}
 
-func (t Token) appendXIDs(b []byte) []byte {
-	if !slices.ContainsFunc(t.entries, func(e entry) bool { return e.at.XID > 0 }) {
-		return binary.AppendUvarint(b, 0) // no extension
+func appendExtension(b []byte, typ uint64, body []byte) []byte {
+	if body == nil {
+		return b
 	}
-	var xids []byte
-	for _, e := range t.entries {
-		xids = binary.AppendUvarint(xids, e.at.XID)
+	b = binary.AppendUvarint(b, typ)
+	b = binary.AppendUvarint(b, uint64(len(body)))
+	return append(b, body...)
+}
+
+// column is one number of each entry, nil if all are 0.
+func (t Token) column(of func(*entry) *uint64) (body []byte) {
+	any := false
+	for i := range t.entries {
+		value := *of(&t.entries[i])
+		any = any || value > 0
+		body = binary.AppendUvarint(body, value)
 	}
-	b = binary.AppendUvarint(append(b, 1), extXIDs)
-	return append(binary.AppendUvarint(b, uint64(len(xids))), xids...)
+	if !any {
+		return nil
+	}
+	return body
 }
 
 // String is the text form without a signature; the zero Token is the empty text.
@@ -384,10 +421,16 @@
 	for range min(n, 16) {
 		typ := r.number()
 		body := r.bytes(r.number())
-		if r.ok && typ == extXIDs {
-			if err := takeXIDs(body, entries); err != nil {
-				return err
-			}
+		var err error
+		switch {
+		case !r.ok:
+		case typ == extBelow:
+			err = takeColumn(body, entries, belowOf)
+		case typ == extExcept:
+			err = takeColumn(body, entries, exceptOf)
+		}
+		if err != nil {
+			return err
 		}
 		if r.ok && typ%2 == 1 {
 			return bad("extension %d must be understood and is not known here", typ)
@@ -396,15 +439,22 @@
 	if !r.ok || n > 16 {
 		return bad("extensions are cut off")
 	}
+	for i := range entries {
+		if !entries[i].at.Transactions.Normal() {
+			return bad("transactions of slice %d are not in normal form", i+1)
+		}
+	}
 	return nil
 }
 
-func takeXIDs(body []byte, entries []entry) error {
+// takeColumn reads one number of each entry.
+func takeColumn(body []byte, entries []entry, of func(*entry) *uint64) error {
 	r := reader{b: body, ok: true}
 	any := false
 	for i := range entries {
-		entries[i].at.XID = r.number()
-		any = any || entries[i].at.XID > 0
+		value := of(&entries[i])
+		*value = r.number()
+		any = any || *value > 0
 	}
 	if !r.ok || len(r.b) > 0 || !any {
 		return bad("transaction ids do not match the slices")
--- a/token/token_test.go
+++ b/token/token_test.go
@@ -15,11 +15,19 @@
 	"umberladder/position"
 )
 
+// drawTransactions draws a set as a replica's or a primary's snapshot gives it, often an empty one.
+func drawTransactions(t *rapid.T) position.Transactions {
+	next := rapid.Uint64Range(0, 6).Draw(t, "next")
+	s := position.Snapshot{Oldest: rapid.Uint64Range(0, next).Draw(t, "oldest"), Next: next}
+	return s.Shown()
+}
+
 func drawToken(t *rapid.T) Token {
 	var tok Token
 	for range rapid.IntRange(0, 6).Draw(t, "slices") {
 		tok = tok.With(rapid.StringMatching(`[a-f]`).Draw(t, "slice"), position.Position{
-			Timeline: rapid.Uint32Range(1, 4).Draw(t, "timeline"), LSN: rapid.Uint64Range(1, 50).Draw(t, "lsn")})
+			Timeline: rapid.Uint32Range(1, 4).Draw(t, "timeline"), LSN: rapid.Uint64Range(1, 50).Draw(t, "lsn"),
+			Transactions: drawTransactions(t)})
 	}
 	tok.present = rapid.IntRange(0, 9).Draw(t, "present") == 0
 	return tok
