The answer to an operator's order shows what the order left behind, not what came after

What callers saw: 'topology forget' answered with nodes that it had just forgotten.

Cause: the order and the view that answers it were two looks at the engine; forgetting has all nodes asked at once, and who answered between the looks was shown.

--- a/server/control.go
+++ b/server/control.go
@@ -94,16 +94,22 @@
 	mux.HandleFunc("GET /topology", func(w http.ResponseWriter, r *http.Request) { s.tellTopology(w, r) })
 	act := func(do func(e *driver.Engine, name string) error) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
+			// The order and the view of what it left behind are one look: nodes answer between two.
 			var err error
-			if gone := s.loop.look(r.Context(), func(e *driver.Engine) { err = do(e, r.PathValue("name")) }); gone != nil {
+			var views []driver.SliceView
+			gone := s.loop.look(r.Context(), func(e *driver.Engine) {
+				if err = do(e, r.PathValue("name")); err == nil {
+					views = e.Ledgers()
+				}
+			})
+			switch {
+			case gone != nil:
 				http.Error(w, "the driver is stopping", http.StatusServiceUnavailable)
-				return
-			}
-			if err != nil {
+			case err != nil:
 				http.Error(w, err.Error(), http.StatusNotFound)
-				return
+			default:
+				s.writeTopology(w, views)
 			}
-			s.tellTopology(w, r)
 		}
 	}
 	mux.HandleFunc("POST /topology/fence/{name}", act(func(e *driver.Engine, name string) error { return e.Fence(name, true) }))
@@ -117,6 +123,10 @@
 		http.Error(w, "the driver is stopping", http.StatusServiceUnavailable)
 		return
 	}
+	s.writeTopology(w, views)
+}
+
+func (s *Server) writeTopology(w http.ResponseWriter, views []driver.SliceView) {
 	now := s.loop.now()
 	t := Topology{Slices: []TopologySlice{}}
 	for _, v := range views {
--- a/server/topology_test.go
+++ b/server/topology_test.go
@@ -99,6 +99,32 @@
 	}
 }
 
+// TestAnswersOfAnOrderShowItsEffect: what an operator's order answers is what it left behind, whatever nodes tell meanwhile.
+//
+// The answer was put together in a second look at the engine. Forgetting has all nodes asked at once, and nodes that
+// answered between the two looks were in it: TestTopologyShown failed so, once in CI beside load, with three nodes heard
+// 0.2 to 3.8 ms before.
+func TestAnswersOfAnOrderShowItsEffect(t *testing.T) {
+	dir := t.TempDir()
+	socket := filepath.Join(dir, "control")
+	f := newFleet(t, lab.Spec{Members: 3, Extra: "state dir " + dir + "\nstate control " + socket + "\n"})
+	until(t, "the primary is known", func() bool {
+		tp, _ := topologyOf(t, socket, "GET", "/topology")
+		return len(tp.Slices) == 1 && tp.Slices[0].Primary != ""
+	})
+	const orders = 300
+	shown := 0
+	for range orders {
+		tp, _ := topologyOf(t, socket, "POST", "/topology/forget/"+f.Groups[0].Name)
+		if len(tp.Slices[0].Nodes) != 0 {
+			shown++
+		}
+	}
+	if shown > 0 {
+		t.Errorf("%d of %d answers show what nodes told after all was forgotten", shown, orders)
+	}
+}
+
 func writeTo(slice string) *pb.ExecuteRequest {
 	return &pb.ExecuteRequest{Slice: slice, Class: "write", Statement: "insert into kv (key, value) values ($1, $2)",
 		Parameters: []*pb.Value{{Kind: &pb.Value_TextValue{TextValue: "k"}}, {Kind: &pb.Value_TextValue{TextValue: "v" + time.Now().Format("150405.000000")}}}}
