Answers to questions from before 'topology forget' no longer undo it

What callers saw: after a slice was restored from a backup and 'topology forget' given, an answer that had been asked for before could put the newer term back; the restored primary then counted as superseded and nothing was written.

Cause: learn() took whatever a node told into ledger and clock when it came, though each exchange knows when it went out. TestForgottenBeforeTheAnswer: term 9 was back, then 'nobody claims term 9' beside a primary on timeline 2.

Why this holds: an exchange that went out before the order, or in its moment, tells nothing of its node: results, streams and polls drop their facts at the one place at which they are taken. What the engine kept of the slice's nodes beside the ledger goes too.

--- a/driver/conns.go
+++ b/driver/conns.go
@@ -412,11 +412,26 @@
 	e.doubted(c.node)
 }
 
+// asksOfForgotten tells whether the exchange went out before an operator had its slice forgotten, or in that moment.
+func (c *conn) asksOfForgotten() bool {
+	forgotten := c.node.slice.forgotten
+	return forgotten > 0 && c.sentAt <= forgotten
+}
+
+// dropForgotten takes out of a result what its node told of a history that an operator had forgotten since: after the
+// restore of a backup it must not count again, its newer term above all.
+func (c *conn) dropForgotten(r *Result) {
+	if c.asksOfForgotten() {
+		r.Facts, r.After = Facts{}, Facts{}
+	}
+}
+
 // result takes the end of an exchange: a request's or a poll's.
 func (e *Engine) result(c *conn, r *Result) {
 	if c == nil || c.state != busy && c.state != lingering {
 		return
 	}
+	c.dropForgotten(r)
 	if r.Facts.Known {
 		e.learn(c.node, r.Facts, c.sentAt, c.probes)
 	}
@@ -520,7 +535,9 @@
 	}
 	a := c.attempt
 	q := a.request
-	e.learn(c.node, r.Facts, c.sentAt, false)
+	if c.dropForgotten(r); r.Facts.Known {
+		e.learn(c.node, r.Facts, c.sentAt, false)
+	}
 	if q.done || !e.fits(q, a.node, r.Facts, c.sentAt) {
 		ev := balance.Event{Outcome: balance.OutcomeMiss}
 		e.facts(&ev, q, a.node, r.Facts, c.sentAt)
--- a/driver/engine.go
+++ b/driver/engine.go
@@ -99,6 +99,8 @@
 	nodes    []*node
 	waiting  int           // requests without final answer and attempt
 	proven   time.Duration // as of when a replica was last proven to have everything
+	// forgotten is when an operator last had everything forgotten that was known of the slice.
+	forgotten time.Duration
 }
 
 // request is one request, kept until it has its final answer and no attempt is out.
--- a/driver/facts.go
+++ b/driver/facts.go
@@ -87,11 +87,13 @@
 		return
 	}
 	ev := balance.Event{Outcome: Judge(r).Outcome, Age: e.now - c.sentAt}
-	if ev.Outcome == balance.OutcomeOK && r.Facts.Known {
+	switch {
+	case ev.Outcome != balance.OutcomeOK:
+	case r.Facts.Known:
 		ev.Outcome, ev.Report = e.report(n, r.Facts, c.sentAt)
-	} else if ev.Outcome == balance.OutcomeOK {
+	case !c.asksOfForgotten():
 		ev.Outcome = balance.OutcomeError
-	}
+	} // else the node is up, and nothing is known of it
 	e.pollEnded(n, ev)
 }
 
--- a/driver/topology.go
+++ b/driver/topology.go
@@ -321,6 +321,10 @@
 	}
 	s.clock = position.Clock{}
 	s.primary = nil
+	s.forgotten = e.now
+	for _, n := range s.nodes {
+		n.facts, n.system, n.upstream, n.followed = Facts{}, 0, "", ""
+	}
 	s.topo.Forget(e.now)
 	e.journal(s)
 	e.suspect(s)
--- a/driver/topology_test.go
+++ b/driver/topology_test.go
@@ -425,3 +425,38 @@
 	}
 	r.quiet()
 }
+
+// TestForgottenBeforeTheAnswer: what was asked before an operator had a slice forgotten does not count when it is answered
+// after: it tells of the history that the operator had restored from a backup, whose newer term would go on being held
+// against the restored primary.
+func TestForgottenBeforeTheAnswer(t *testing.T) {
+	for _, gap := range []time.Duration{0, 20 * ms} {
+		r := newRig(t, testConfig(), fleetFacts())
+		r.run(500 * ms)
+		before := r.ask(classDesk, token.Token{})
+		r.run(gap)
+		asked := r.sent(before)
+		for _, n := range r.nodes {
+			n.silent = true
+		}
+		if err := r.e.Forget("news"); err != nil {
+			t.Fatal(err)
+		}
+		newer := of(primary(at(9, 5000)), 7, "")
+		r.result(asked, Result{Began: true, Done: true, Facts: newer, After: newer})
+		if v := r.e.Ledgers()[0]; v.Verdict.Term != 0 || len(v.Nodes) != 0 {
+			t.Errorf("an answer to what was asked before: %+v", v)
+		}
+		for name, n := range r.nodes {
+			n.silent = false
+			n.facts = of(replica(at(2, 100)), 7, "")
+			if name == "p" {
+				n.facts = of(primary(at(2, 100)), 7, "")
+			}
+		}
+		r.run(2000 * ms)
+		if v := r.e.Ledgers()[0]; v.Verdict.Term != 2 || v.Verdict.Primary != "p" {
+			t.Errorf("answers to what was asked since: %+v", v.Verdict)
+		}
+	}
+}
