lab soak: the platform's driver as a process, told to end under clients, crowds and trouble

A seed draws the series of signals (8), the member's trouble (5), a crowd in one of four, deadlines and five kinds of clients. A traced driver tells its state each second.

--- a/cmd/mutants/main.go
+++ b/cmd/mutants/main.go
@@ -1,7 +1,8 @@
-// Mutants plants faults in the code, one at a time, in an overlay of the build, and looks whether the explorer finds them.
-// The faults stand in explore/testdata/mutants.txt, not in the code.
+// Mutants plants faults in the code, one at a time, in an overlay of the build, and looks whether the explorer, or the
+// soak of the driver's process, finds them. The faults stand in explore/testdata/mutants.txt and
+// lab/soak/testdata/mutants.txt, not in the code.
 //
-//	go run ./cmd/mutants [-only NAME] [-procs N]
+//	go run ./cmd/mutants [-soak SEEDS] [-only NAME] [-procs N]
 package main
 
 import (
@@ -14,6 +15,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -95,14 +97,46 @@
 	return "", ctx.Err()
 }
 
+// foundBySoak tells by which seeds and rules of the soak a program's fault is found, "" if it is not.
+func foundBySoak(ctx context.Context, program, seeds string) (string, error) {
+	out, err := exec.CommandContext(ctx, program, "lab", "soak", "--seeds", seeds, "--procs", "2").CombinedOutput()
+	if err == nil {
+		return "", ctx.Err()
+	}
+	var where, rules []string
+	for _, line := range strings.Split(string(out), "\n") {
+		fields := strings.Fields(line)
+		switch {
+		case len(fields) > 3 && fields[0] == "seed" && fields[len(fields)-1] != "0":
+			where = append(where, strings.TrimSuffix(fields[1], ":"))
+		case len(fields) > 3 && fields[0] != "seed" && isNumber(fields[len(fields)-1]) && isNumber(fields[len(fields)-2]) && fields[len(fields)-1] != "0":
+			rules = append(rules, strings.Join(fields[:len(fields)-3], " ")+" "+fields[len(fields)-1])
+		}
+	}
+	if len(where) == 0 {
+		return "", fmt.Errorf("the soak ended with %w: %s", err, out[max(0, len(out)-300):])
+	}
+	return "seeds " + strings.Join(where, " ") + ": " + strings.Join(rules, ", "), nil
+}
+
+func isNumber(text string) bool {
+	_, err := strconv.Atoi(text)
+	return err == nil
+}
+
 // unbuilt begins what is told of a mutant that is none.
 const unbuilt = "it can't be built: "
 
 func run() error {
 	only := flag.String("only", "", "the mutant to try")
 	procs := flag.Int("procs", 2, "mutants at once")
+	seeds := flag.String("soak", "", "seeds of the soak, A-B, that plays the driver's process in place of the explorer")
 	flag.Parse()
-	all, err := read("explore/testdata/mutants.txt")
+	list := "explore/testdata/mutants.txt"
+	if *seeds != "" {
+		list = "lab/soak/testdata/mutants.txt"
+	}
+	all, err := read(list)
 	if err != nil {
 		return err
 	}
@@ -125,7 +159,11 @@
 				fmt.Fprintf(os.Stderr, "%s: %v\n", m.name, err)
 				return nil
 			}
-			by[i], err = found(ctx, program)
+			if *seeds != "" {
+				by[i], err = foundBySoak(ctx, program, *seeds)
+			} else {
+				by[i], err = found(ctx, program)
+			}
 			fmt.Fprintf(os.Stderr, "%s: %s\n", m.name, cmp.Or(by[i], "lives"))
 			return err
 		})
--- a/cmd/umberladder/lab.go
+++ b/cmd/umberladder/lab.go
@@ -17,7 +17,7 @@
 	cmd.AddCommand(labRun("chain", "Sessions through services and caches that lose and mix up tokens", lab.Chain))
 	cmd.AddCommand(labRun("topology", "Promotions, old primaries that go on, two claimants, odd peers, about ten seconds", lab.Topology))
 	cmd.AddCommand(labRun("overload", "Up to ten times the load that nodes can bear, simulated and live", lab.Overload))
-	cmd.AddCommand(historyCommand(), simCommand(), memoryCommand(), fleetCommand(), experimentCommand(), huntCommand(), recordingCommand(), reportCommand(), sweepCommand(), importCommand())
+	cmd.AddCommand(soakCommand(), historyCommand(), simCommand(), memoryCommand(), fleetCommand(), experimentCommand(), huntCommand(), recordingCommand(), reportCommand(), sweepCommand(), importCommand())
 	var seed uint64
 	replay := &cobra.Command{
 		Use:   "replay DAY.json",
--- a/lab/badday.go
+++ b/lab/badday.go
@@ -54,7 +54,7 @@
 	}
 	ctx, end := context.WithCancel(context.Background())
 	d := newDay(ctx, f, rand.New(rand.NewPCG(spec.Seed, salt)))
-	d.name, d.before, d.end, d.stalls = name, before, end, stallMeter(ctx)
+	d.name, d.before, d.end, d.stalls = name, before, end, StallMeter(ctx)
 	return d, nil
 }
 
@@ -96,8 +96,8 @@
 	}
 }
 
-// stallMeter measures how late this machine runs a goroutine that is ready.
-func stallMeter(ctx context.Context) *atomic.Int64 {
+// StallMeter measures, until ctx ends, how late this machine runs a goroutine that is ready.
+func StallMeter(ctx context.Context) *atomic.Int64 {
 	var worst atomic.Int64
 	go func() {
 		const nap = 2 * time.Millisecond
--- a/lab/chain.go
+++ b/lab/chain.go
@@ -91,7 +91,7 @@
 	}
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
-	stalls := stallMeter(ctx)
+	stalls := StallMeter(ctx)
 	c := &chain{day: newDay(ctx, f, rand.New(rand.NewPCG(seed, 0x636861)))}
 	if err := c.serve(); err != nil {
 		return nil, err
--- a/lab/demo.go
+++ b/lab/demo.go
@@ -20,7 +20,7 @@
 	}
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
-	stalls := stallMeter(ctx)
+	stalls := StallMeter(ctx)
 	g := f.Groups[0]
 	d := newDay(ctx, f, rand.New(rand.NewPCG(1, 1)))
 	begin := time.Now()
--- a/lab/replay.go
+++ b/lab/replay.go
@@ -28,7 +28,7 @@
 	}
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
-	stalls := stallMeter(ctx)
+	stalls := StallMeter(ctx)
 	p.ctx = ctx
 	var clients sync.WaitGroup
 	const sessions = 60
--- /dev/null
+++ b/lab/soak/soak_test.go
@@ -0,0 +1,43 @@
+package soak
+
+import (
+	"bytes"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// TestSoak plays seeds with each series of signals, a crowd and each trouble at members through the built program.
+// `umberladder lab soak --seeds A-B` plays others.
+func TestSoak(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "umberladder")
+	if out, err := exec.Command("go", "build", "-o", program, "umberladder/cmd/umberladder").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	const first, last = 101, 116
+	var out bytes.Buffer
+	s := &Series{Program: program, Keep: t.TempDir(), Procs: 2, Out: &out}
+	if err := s.Play(t.Context(), first, last); err != nil {
+		t.Fatal(err)
+	}
+	if s.Write(&out); s.Broken() > 0 || s.Played() != last-first+1 {
+		t.Error(out.String())
+	}
+	for _, sum := range s.sums() {
+		if sum.Chances == 0 {
+			t.Errorf("%s: no chance to be broken", sum.Name)
+		}
+	}
+}
+
+// TestPlansDiffer: the seeds of TestSoak have all series of signals and troubles, a crowd and none.
+func TestPlansDiffer(t *testing.T) {
+	signals, troubles, crowds := map[Signals]bool{}, map[MemberTrouble]bool{}, map[bool]bool{}
+	for seed := uint64(101); seed <= 116; seed++ {
+		p := Draw(seed)
+		signals[p.Signals], troubles[p.Trouble], crowds[p.Crowd] = true, true, true
+	}
+	if len(signals) != int(signalSeries) || len(troubles) != int(memberTroubles) || len(crowds) != 2 {
+		t.Errorf("signals %v, troubles %v, crowds %v", signals, troubles, crowds)
+	}
+}
--- a/standin/catalog/member.go
+++ b/standin/catalog/member.go
@@ -137,6 +137,13 @@
 	}
 }
 
+// Open is how many connections the member has.
+func (m *Member) Open() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.conns)
+}
+
 // SetScript has a script answer requests from now on; nil ends that.
 func (m *Member) SetScript(s Script) {
 	m.mu.Lock()
