--- a/cmd/umberladder/platform.go
+++ b/cmd/umberladder/platform.go
@@ -34,7 +34,9 @@
 			if err != nil {
 				return err
 			}
-			cfg.Limit()
+			if err := cfg.Limit(); err != nil {
+				return err
+			}
 			var trace func(string, ...any)
 			if os.Getenv("UMBERLADDER_TRACE") != "" {
 				trace = log.Sugar().Infof
