--- a/lab/livetrouble.go
+++ b/lab/livetrouble.go
@@ -222,7 +222,6 @@
 // find in what reached the nodes.
 type rogue struct {
 	live *live
-	work sync.WaitGroup
 }
 
 // as connects to a node in the name of a driver.
--- a/lab/memory.go
+++ b/lab/memory.go
@@ -49,7 +49,6 @@
 	addr   string
 	driver *exec.Cmd
 	peak   atomic.Int64 // bytes resident
-	rows   atomic.Int64
 	slow   atomic.Int64 // bytes that slow readers got
 	watch  atomic.Int64 // streams that are open
 	served atomic.Int64
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -252,16 +252,15 @@
 				}
 			}
 		}
-		var c Change
 		for range 1000 {
 			at, ok := m.Wake()
 			if !ok {
 				break
 			}
 			now = max(now, at)
-			c = m.Tick(now)
+			m.Tick(now)
 		}
-		c = m.Tick(now + cfg.ConfirmAfter)
+		c := m.Tick(now + cfg.ConfirmAfter)
 		var want []string
 		for _, n := range list.Nodes {
 			if n.State == inventory.Ready {
--- a/pgwire/scram.go
+++ b/pgwire/scram.go
@@ -17,7 +17,6 @@
 	user, password string
 	conversation   *scram.ClientConversation
 	proven         bool // the backend showed that it knows the password
-	asked          bool
 }
 
 // NewAuthenticator answers as the user given.
@@ -90,7 +89,10 @@
 	if err != nil {
 		return nil, err
 	}
-	stored := client.GetStoredCredentials(scram.KeyFactors{Salt: rand.Text(), Iters: 4096})
+	stored, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: rand.Text(), Iters: 4096})
+	if err != nil {
+		return nil, err
+	}
 	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) { return stored, nil })
 	if err != nil {
 		return nil, err
--- a/server/server.go
+++ b/server/server.go
@@ -172,7 +172,6 @@
 	s.grpc = grpc.NewServer(append(s.streams.options(),
 		grpc.MaxRecvMsgSize(maxRequest), grpc.MaxHeaderListSize(maxHeaders), grpc.MaxConcurrentStreams(uint32(s.settings.MaxStreams)),
 		experimental.BufferPool(mem.NewTieredBufferPool(1<<8, 1<<12, 1<<14, 1<<15, 1<<16, 1<<17, 1<<18, 1<<19, 1<<20)), // gRPC's own goes from 32 KiB to 1 MiB
-		grpc.SharedWriteBuffer(true), // else each client that is connected holds one
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 15 * time.Minute, Time: time.Minute,
 			Timeout: 10 * time.Second}),
