--- a/cmd/umberladder/lab.go
+++ b/cmd/umberladder/lab.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"umberladder/lab"
+	"umberladder/lab/memory"
 )
 
 func labCommand() *cobra.Command {
@@ -79,14 +80,14 @@
 
 // memoryCommand bounds the memory of a driver that runs as a process of its own.
 func memoryCommand() *cobra.Command {
-	spec := lab.MemorySpec{}
+	spec := memory.Spec{}
 	mib := 0
 	cmd := labRun("memory", "A driver under a memory limit: many streams and nodes, slow readers, a crowd", func(seed uint64) (r *lab.Report, err error) {
 		spec.Seed, spec.Limit = seed, mib<<20
 		if spec.Program, err = os.Executable(); err != nil {
 			return nil, err
 		}
-		return lab.Memory(spec)
+		return memory.Run(spec)
 	})
 	flags := cmd.Flags()
 	flags.IntVar(&mib, "limit", 256, "MiB that the driver may take up")
--- a/cmd/umberladder/main_test.go
+++ b/cmd/umberladder/main_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"umberladder/lab"
+	"umberladder/lab/memory"
 )
 
 // run runs the program with arguments and returns what it prints to both outputs.
@@ -111,7 +112,7 @@
 		t.Fatal(err)
 	}
 	t.Setenv(asProgram, "1")
-	r, err := lab.Memory(lab.MemorySpec{Program: program, Limit: 192 << 20, Streams: 5000, Nodes: 1000, Reach: 50, Slow: 60, Crowd: 1000})
+	r, err := memory.Run(memory.Spec{Program: program, Limit: 192 << 20, Streams: 5000, Nodes: 1000, Reach: 50, Slow: 60, Crowd: 1000})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/lab/audit.go
+++ b/lab/audit.go
@@ -118,7 +118,7 @@
 func ruleOf(r *history.Rule) *Rule {
 	out := &Rule{Name: r.Name, Chances: r.Chances, Excused: r.Excused}
 	for i := range r.Broken {
-		out.broken("%s: %s", r.Name, &r.Broken[i])
+		out.Break("%s: %s", r.Name, &r.Broken[i])
 	}
 	return out
 }
--- a/lab/chain.go
+++ b/lab/chain.go
@@ -485,14 +485,14 @@
 		w, ok := commits[l.wrote]
 		if !ok || w.Position.Timeline > l.read.Timeline || !groups[l.slice].Survives(w.Position, l.read.Timeline) {
 			if ok && w.Position.Timeline > l.read.Timeline {
-				own.broken("%s had seen %s at %v and read %s from timeline %d", l.who, l.wrote, w.Position, l.thread, l.read.Timeline)
+				own.Break("%s had seen %s at %v and read %s from timeline %d", l.who, l.wrote, w.Position, l.thread, l.read.Timeline)
 			} else {
 				own.Excused++ // a promotion lost the write
 			}
 			continue
 		}
 		if uint64(l.read.LSN) < w.Position.LSN {
-			own.broken("%s had seen %s at %v in %s/%s and read %d at %d:%d", l.who, l.wrote, w.Position, l.slice, l.thread, l.read.LSN, l.read.Timeline, l.read.At)
+			own.Break("%s had seen %s at %v in %s/%s and read %d at %d:%d", l.who, l.wrote, w.Position, l.slice, l.thread, l.read.LSN, l.read.Timeline, l.read.At)
 		}
 	}
 	for _, a := range c.asked {
@@ -502,7 +502,7 @@
 		}
 		tokens.Chances++
 		if s.Position.Timeline < a.need.Timeline || s.Position.LSN < a.need.LSN && groups[a.slice].Survives(a.need, s.Position.Timeline) {
-			tokens.broken("read %s at %s was answered from %v, its token asked for %v", a.tag, a.served, s.Position, a.need)
+			tokens.Break("read %s at %s was answered from %v, its token asked for %v", a.tag, a.served, s.Position, a.need)
 		}
 	}
 	return []*Rule{tokens, own}
--- a/lab/judge.go
+++ b/lab/judge.go
@@ -20,7 +20,8 @@
 	Broken  []string // one line each
 }
 
-func (r *Rule) broken(format string, args ...any) {
+// Break notes a break of the rule, in one line.
+func (r *Rule) Break(format string, args ...any) {
 	r.Broken = append(r.Broken, fmt.Sprintf(format, args...))
 }
 
@@ -88,14 +89,14 @@
 		}
 		r.Chances++
 		if c.Verdict == Unanswered {
-			r.broken("%s %s at %s: no answer (%s)", c.Class.Name, c.Tag, c.Driver, c.Text)
+			r.Break("%s %s at %s: no answer (%s)", c.Class.Name, c.Tag, c.Driver, c.Text)
 		}
 		if late := c.Answered.Sub(c.Sent) - c.Wait; c.Verdict != Left && late > j.slack {
-			r.broken("%s %s at %s: answered %v after the client gave up", c.Class.Name, c.Tag, c.Driver, late)
+			r.Break("%s %s at %s: answered %v after the client gave up", c.Class.Name, c.Tag, c.Driver, late)
 		}
 		for _, s := range j.byTag[c.Tag] {
 			if after := s.Arrived.Sub(c.Answered); after > j.slack {
-				r.broken("%s %s: sent to %s %v after its final answer (%v)", c.Class.Name, c.Tag, s.Node, after, c.Verdict)
+				r.Break("%s %s: sent to %s %v after its final answer (%v)", c.Class.Name, c.Tag, s.Node, after, c.Verdict)
 			}
 		}
 	}
@@ -123,7 +124,7 @@
 			r.Chances++
 		}
 		if write && ran > 1 {
-			r.broken("%s %s ran %d times", c.Class.Name, c.Tag, ran)
+			r.Break("%s %s ran %d times", c.Class.Name, c.Tag, ran)
 		}
 	}
 	return r
@@ -135,14 +136,14 @@
 	switch age := next.Arrived.Sub(first.Arrived); {
 	case unrun:
 	case c.Class.Effect == balance.Unsafe:
-		r.broken("%s %s went to %s and again to %s though it may have run", c.Class.Name, c.Tag, first.Node, next.Node)
+		r.Break("%s %s went to %s and again to %s though it may have run", c.Class.Name, c.Tag, first.Node, next.Node)
 	case c.Class.Effect == balance.Keyed && age > c.Class.Window:
-		r.broken("%s %s went out again after %v, outside its window", c.Class.Name, c.Tag, age)
+		r.Break("%s %s went out again after %v, outside its window", c.Class.Name, c.Tag, age)
 	}
 	over := !first.Ended.IsZero() && first.Ended.Sub(next.Arrived) <= j.slack
 	called := !first.Canceled.IsZero() && first.Canceled.Sub(next.Arrived) <= j.slack
 	if !over && !called && !j.fleet.Spec.Site.Copies {
-		r.broken("%s %s was at %s and at %s together", c.Class.Name, c.Tag, first.Node, next.Node)
+		r.Break("%s %s was at %s and at %s together", c.Class.Name, c.Tag, first.Node, next.Node)
 	}
 }
 
@@ -171,7 +172,7 @@
 		r.Chances++
 		for _, s := range j.byNode[b.from.Node] {
 			if s.Driver == b.from.Driver && s.Arrived.After(b.from.At.Add(j.fleet.Spec.Site.Grace+j.slack)) && s.Arrived.Before(b.to.At) {
-				r.broken("%s sent %s to %s %v after it was told that it drains", s.Driver, s.Tag, s.Node, s.Arrived.Sub(b.from.At))
+				r.Break("%s sent %s to %s %v after it was told that it drains", s.Driver, s.Tag, s.Node, s.Arrived.Sub(b.from.At))
 			}
 		}
 	}
@@ -195,7 +196,7 @@
 			age := min(1, all[k-1].Arrived.Sub(start.At).Seconds()/cfg.Ramp.Seconds())
 			can := cfg.Capacity() * j.fleet.Spec.Site.Fall.Seconds() * (cfg.ColdFrom + (1-cfg.ColdFrom)*age)
 			if float64(k-i) > j.fleet.Spec.Site.Tip*can {
-				r.broken("%s got %d in %v, %v after its start, and could do %.0f", start.Node, k-i, j.fleet.Spec.Site.Fall, all[i].Arrived.Sub(start.At), can)
+				r.Break("%s got %d in %v, %v after its start, and could do %.0f", start.Node, k-i, j.fleet.Spec.Site.Fall, all[i].Arrived.Sub(start.At), can)
 				break
 			}
 		}
@@ -226,7 +227,7 @@
 			for _, tag := range c.After {
 				w, ok := j.commits[tag]
 				if ok && g.Survives(w.Position, s.Position.Timeline) && w.Position.LSN > s.Position.LSN {
-					r.broken("%s %s at %s saw %v, its session's write %s is at %v", c.Class.Name, c.Tag, s.Node, s.Position, tag, w.Position)
+					r.Break("%s %s at %s saw %v, its session's write %s is at %v", c.Class.Name, c.Tag, s.Node, s.Position, tag, w.Position)
 				}
 			}
 		}
@@ -256,7 +257,7 @@
 				r.Excused++
 				return
 			}
-			r.broken("%s %s at %s saw %v, %s of %v before is at %v", c.Class.Name, c.Tag, s.Node, s.Position, w.Value,
+			r.Break("%s %s at %s saw %v, %s of %v before is at %v", c.Class.Name, c.Tag, s.Node, s.Position, w.Value,
 				s.Arrived.Sub(w.At), w.Position)
 			return
 		}
--- a/lab/memory.go
+++ b/lab/memory/memory.go
@@ -1,7 +1,8 @@
-package lab
+// Package memory runs a driver as a process of its own under a limit on its memory, with more streams, nodes, slow
+// readers and calls than it can hold, and judges what the operating system says that it took.
+package memory
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -10,7 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,12 +24,14 @@
 	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/status"
 
+	"umberladder/lab"
+	"umberladder/lab/process"
 	pb "umberladder/proto/umberladder/v1"
 	"umberladder/standin"
 )
 
-// MemorySpec is what a driver must bear within its memory.
-type MemorySpec struct {
+// Spec is what a driver must bear within its memory.
+type Spec struct {
 	Program string // the driver's own program
 	Limit   int    // bytes
 	Streams int    // open client streams that wait
@@ -40,9 +42,9 @@
 	Seed    uint64
 }
 
-// memoryRun is one run under way.
-type memoryRun struct {
-	spec   MemorySpec
+// run is one run under way.
+type run struct {
+	spec   Spec
 	dir    string
 	groups []*standin.Group
 	clean  []func()
@@ -59,11 +61,11 @@
 	lines  []string
 }
 
-// Memory starts a driver in a process of its own with a limit on its memory, and has it bear a large inventory, many
+// Run starts a driver in a process of its own with a limit on its memory, and has it bear a large inventory, many
 // open streams, slow readers of large rows and a crowd, one after the other and then all at once. It judges the
 // resident memory that the system tells, and that a steady client was served meanwhile.
-func Memory(spec MemorySpec) (*Report, error) {
-	m := &memoryRun{spec: spec}
+func Run(spec Spec) (*lab.Report, error) {
+	m := &run{spec: spec}
 	defer m.close()
 	if err := m.start(); err != nil {
 		return nil, err
@@ -99,7 +101,7 @@
 }
 
 // goesOn waits for answers to the steady client after all that, and returns how many came.
-func (m *memoryRun) goesOn() int64 {
+func (m *run) goesOn() int64 {
 	before := m.served.Load()
 	for end := time.Now().Add(mostWait); m.served.Load() < before+answersAfter && time.Now().Before(end); {
 		time.Sleep(10 * time.Millisecond)
@@ -114,11 +116,11 @@
 
 const slowRow = 256 << 10 // bytes of a row for slow readers
 
-func (m *memoryRun) note(format string, args ...any) {
+func (m *run) note(format string, args ...any) {
 	m.lines = append(m.lines, fmt.Sprintf("%s; resident at most %d MiB so far", fmt.Sprintf(format, args...), m.peak.Load()>>20))
 }
 
-func (m *memoryRun) close() {
+func (m *run) close() {
 	for _, f := range m.clean {
 		f()
 	}
@@ -128,7 +130,7 @@
 }
 
 // start puts up stand-ins, writes settings and inventory, and starts the driver.
-func (m *memoryRun) start() (err error) {
+func (m *run) start() (err error) {
 	if m.dir, err = os.MkdirTemp("", "umberladder-memory"); err != nil {
 		return err
 	}
@@ -142,7 +144,7 @@
 		}
 		host, port := fmt.Sprintf("127.%d.%d.%d", 1+i>>16, i>>8&255, i&255), "1"
 		if i < m.spec.Reach {
-			n, err := m.groups[i/members].AddNode(fmt.Sprintf("db%d", i), "reykjavik-a", SmallNode)
+			n, err := m.groups[i/members].AddNode(fmt.Sprintf("db%d", i), "reykjavik-a", lab.SmallNode)
 			if err != nil {
 				return err
 			}
@@ -162,7 +164,7 @@
 	}
 	m.addr = l.Addr().String()
 	l.Close()
-	site := UsersSite()
+	site := lab.UsersSite()
 	text := site.Settings() + fmt.Sprintf("hall reykjavik-a\nhere reykjavik-a\nlisten grpc %s\nrouters 1\ninventory %s\n"+
 		"admission {\n    memory %dMiB\n}\ntokens {\n    session-memory %dMiB\n}\n", m.addr, inventory,
 		m.spec.Limit>>20, m.spec.Limit>>25)
@@ -184,7 +186,7 @@
 }
 
 // awaitServing returns once a read was served.
-func (m *memoryRun) awaitServing(log string) error {
+func (m *run) awaitServing(log string) error {
 	c, err := m.dial()
 	if err != nil {
 		return err
@@ -199,7 +201,7 @@
 	return fmt.Errorf("the driver serves nothing: %w\n%s", last, text[max(0, len(text)-2000):])
 }
 
-func (m *memoryRun) dial() (*grpc.ClientConn, error) {
+func (m *run) dial() (*grpc.ClientConn, error) {
 	c, err := grpc.NewClient("passthrough:///"+m.addr, grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithInitialWindowSize(1<<16), grpc.WithInitialConnWindowSize(1<<20))
 	if err == nil {
@@ -208,7 +210,7 @@
 	return c, err
 }
 
-func (m *memoryRun) read(ctx context.Context, c pb.DriverClient, i int) error {
+func (m *run) read(ctx context.Context, c pb.DriverClient, i int) error {
 	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
 	_, err := c.Execute(ctx, &pb.ExecuteRequest{Slice: fmt.Sprintf("slice%d", i%len(m.groups)), Class: "stats",
@@ -218,7 +220,7 @@
 }
 
 // steady calls again and again, as a client does that has nothing to do with the others.
-func (m *memoryRun) steady(ctx context.Context, c pb.DriverClient) {
+func (m *run) steady(ctx context.Context, c pb.DriverClient) {
 	for i := 0; ctx.Err() == nil; i++ {
 		if err := m.read(ctx, c, i); err == nil {
 			m.served.Add(1)
@@ -233,7 +235,7 @@
 const streamsOfConn = 500
 
 // openStreams opens streams that stay open: watches of the driver's health, as clients with health checks hold them.
-func (m *memoryRun) openStreams(ctx context.Context, all *sync.WaitGroup) error {
+func (m *run) openStreams(ctx context.Context, all *sync.WaitGroup) error {
 	var opening errgroup.Group
 	opening.SetLimit(64)
 	for left := m.spec.Streams; left > 0; left -= streamsOfConn {
@@ -267,7 +269,7 @@
 }
 
 // slowReaders read large rows, a row every half second.
-func (m *memoryRun) slowReaders(ctx context.Context, all *sync.WaitGroup) {
+func (m *run) slowReaders(ctx context.Context, all *sync.WaitGroup) {
 	for i := range m.spec.Slow {
 		c, err := m.dial()
 		if err != nil {
@@ -282,7 +284,7 @@
 	}
 }
 
-func (m *memoryRun) readSlowly(ctx context.Context, c pb.DriverClient, i int) {
+func (m *run) readSlowly(ctx context.Context, c pb.DriverClient, i int) {
 	s, err := c.ExecuteStream(ctx, &pb.ExecuteRequest{Slice: fmt.Sprintf("slice%d", i%len(m.groups)), Class: "stats",
 		Statement: "select repeat($2, $3) from generate_series(1, $1)", Parameters: []*pb.Value{{Kind: &pb.Value_IntValue{IntValue: 200}},
 			{Kind: &pb.Value_TextValue{TextValue: "x"}}, {Kind: &pb.Value_IntValue{IntValue: slowRow}}}})
@@ -296,7 +298,7 @@
 }
 
 // crowd calls all at once.
-func (m *memoryRun) crowd(ctx context.Context) {
+func (m *run) crowd(ctx context.Context) {
 	const conns = 20
 	var all sync.WaitGroup
 	for i := range conns {
@@ -316,43 +318,27 @@
 }
 
 // follow looks at the driver's resident memory.
-func (m *memoryRun) follow(ctx context.Context) {
+func (m *run) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		if n := resident(m.driver.Process.Pid); n > m.peak.Load() {
+		if n := process.ResidentPeak(m.driver.Process.Pid); n > m.peak.Load() {
 			m.peak.Store(n)
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
-// resident is the most memory of a process that was ever resident, as the system tells it, in bytes.
-func resident(pid int) int64 {
-	f, err := os.Open(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	defer f.Close()
-	for lines := bufio.NewScanner(f); lines.Scan(); {
-		if rest, ok := strings.CutPrefix(lines.Text(), "VmHWM:"); ok {
-			n, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 10, 64)
-			return n << 10
-		}
-	}
-	return 0
-}
-
-func (m *memoryRun) report(after int64) *Report {
-	r := &Report{Name: "memory", Seed: m.spec.Seed, Counts: map[Verdict]int{Served: int(m.served.Load()), Refused: int(m.turned.Load() + m.lost.Load())},
+func (m *run) report(after int64) *lab.Report {
+	r := &lab.Report{Name: "memory", Seed: m.spec.Seed, Counts: map[lab.Verdict]int{lab.Served: int(m.served.Load()), lab.Refused: int(m.turned.Load() + m.lost.Load())},
 		Faults: []string{fmt.Sprintf("%d streams asked for, %d slow readers, %d calls at once", m.spec.Streams, m.spec.Slow, m.spec.Crowd)}, Notes: m.lines}
-	bound := &Rule{Name: "memory bounded", Chances: 1}
+	bound := &lab.Rule{Name: "memory bounded", Chances: 1}
 	if m.peak.Load() > int64(m.spec.Limit) {
-		bound.broken("%d MiB were resident, %d are allowed", m.peak.Load()>>20, m.spec.Limit>>20)
+		bound.Break("%d MiB were resident, %d are allowed", m.peak.Load()>>20, m.spec.Limit>>20)
 	}
-	going := &Rule{Name: "goes on", Chances: int(after)}
+	going := &lab.Rule{Name: "goes on", Chances: int(after)}
 	if after < answersAfter {
-		going.broken("%d answers for the steady client in %v after the crowd", after, mostWait)
+		going.Break("%d answers for the steady client in %v after the crowd", after, mostWait)
 	}
-	r.Rules = []*Rule{bound, going}
+	r.Rules = []*lab.Rule{bound, going}
 	if m.peak.Load() == 0 || m.watch.Load() < 1000 || m.slow.Load() == 0 {
 		r.Missing = append(r.Missing, fmt.Sprintf("%d streams, %d bytes read slowly, %d bytes resident", m.watch.Load(), m.slow.Load(), m.peak.Load()))
 	}
@@ -360,7 +346,7 @@
 }
 
 // stop ends the driver as an operator would.
-func (m *memoryRun) stop() error {
+func (m *run) stop() error {
 	m.driver.Process.Signal(syscall.SIGTERM)
 	err := m.driver.Wait()
 	var exit *exec.ExitError
--- a/lab/overload.go
+++ b/lab/overload.go
@@ -53,14 +53,14 @@
 func (s *simulated) take(l *world.Load) {
 	s.settled.Chances++
 	if l.Late() {
-		s.settled.broken("simulated, the loop came too late %d times: %v", l.Result.Overdue, l)
+		s.settled.Break("simulated, the loop came too late %d times: %v", l.Result.Overdue, l)
 	}
 	if !l.Settled() {
-		s.settled.broken("simulated, two seconds after its end: %v", l)
+		s.settled.Break("simulated, two seconds after its end: %v", l)
 	}
 	s.kept.Chances += l.Result.Requests
 	for _, b := range l.Result.Broken {
-		s.kept.broken("simulated, %.1f times the load: %s", l.Times, b)
+		s.kept.Break("simulated, %.1f times the load: %s", l.Times, b)
 	}
 }
 
@@ -98,7 +98,7 @@
 			continue
 		}
 		if s.goodput.Chances++; l.During < 0.9*best {
-			s.goodput.broken("simulated, %.0f a second are earned, %.0f at best: %v", l.During, best, l)
+			s.goodput.Break("simulated, %.0f a second are earned, %.0f at best: %v", l.During, best, l)
 		}
 	}
 	bare, err := world.Outage(seed, none, 0)
@@ -188,7 +188,7 @@
 		usual, over, after, time.Duration(c.late.Load()).Round(time.Millisecond)))
 	held := &Rule{Name: liveGoodput, Chances: 1}
 	if over < 0.7*usual {
-		held.broken("%.0f a second at ten times the load, %.0f at the usual one", over, usual)
+		held.Break("%.0f a second at ten times the load, %.0f at the usual one", over, usual)
 	}
 	r.Rules = append(r.Rules, held)
 	if r.Counts[Refused] < 500 || r.Counts[Served] < 500 {
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -54,10 +54,6 @@
 		r.once(requests, arrivals, slack), r.drained(arrivals, slack), left(requests, arrivals, slack), r.ready(), level, r.memory(), r.ended()}}, nil
 }
 
-func broken(rule *lab.Rule, format string, args ...any) {
-	rule.Broken = append(rule.Broken, fmt.Sprintf(format, args...))
-}
-
 // since says when something was, counted from SIGTERM.
 func (r *run) since(at time.Time) time.Duration { return at.Sub(r.termed).Round(time.Millisecond) }
 
@@ -75,18 +71,18 @@
 		inTurn := min(took, q.at.Sub(q.behind)) // the time spent waiting for the answers before it does not count
 		switch {
 		case q.end == endingValue && q.value != catalog.Value(q.id):
-			broken(rule, "%s was answered with %q", q.id, q.value)
+			rule.Break("%s was answered with %q", q.id, q.value)
 		case (q.end == endingValue || q.end == endingError) && inTurn > q.deadline+lateAnswer+slack:
-			broken(rule, "%s was answered after %v, %v of it in turn, its client waits %v", q.id, took, inTurn, q.deadline)
+			rule.Break("%s was answered after %v, %v of it in turn, its client waits %v", q.id, took, inTurn, q.deadline)
 		case q.end == endingNone:
-			broken(rule, "%s, sent %v after SIGTERM: no answer", q.id, r.since(q.sent))
+			rule.Break("%s, sent %v after SIGTERM: no answer", q.id, r.since(q.sent))
 		case q.end != endingClosed && q.end != endingReset:
 		case len(arrivals[q.id]) > 0:
-			broken(rule, "%s, sent %v after SIGTERM to %s, reached a member: %s after %v in place of an answer", q.id, r.since(q.sent), q.driver, endingNames[q.end], took)
+			rule.Break("%s, sent %v after SIGTERM to %s, reached a member: %s after %v in place of an answer", q.id, r.since(q.sent), q.driver, endingNames[q.end], took)
 		case took <= crossing+slack, q.first && r.plan.Crowd && q.end == endingReset:
 			rule.Excused++
 		default:
-			broken(rule, "%s, sent %v after SIGTERM to %s: %s after %v in place of an answer", q.id, r.since(q.sent), q.driver, endingNames[q.end], took)
+			rule.Break("%s, sent %v after SIGTERM to %s: %s after %v in place of an answer", q.id, r.since(q.sent), q.driver, endingNames[q.end], took)
 		}
 	}
 	return rule
@@ -96,21 +92,21 @@
 func (r *run) once(requests []request, arrivals map[string][]arrival, slack time.Duration) *lab.Rule {
 	rule := &lab.Rule{Name: "once"}
 	for _, extra := range r.book.extra {
-		broken(rule, "an answer too many: %s", extra)
+		rule.Break("an answer too many: %s", extra)
 	}
 	for i := range requests {
 		q := &requests[i]
 		rule.Chances++
 		all := arrivals[q.id]
 		if q.write && len(all) > 1 {
-			broken(rule, "the write %s reached members %d times", q.id, len(all))
+			rule.Break("the write %s reached members %d times", q.id, len(all))
 		}
 		if q.end != endingValue && q.end != endingError {
 			continue
 		}
 		for _, a := range all {
 			if after := a.At.Sub(q.at); after > slack {
-				broken(rule, "%s reached %s %v after its answer", q.id, a.member, after)
+				rule.Break("%s reached %s %v after its answer", q.id, a.member, after)
 			}
 		}
 	}
@@ -135,7 +131,7 @@
 				rule.Chances++
 			}
 			if a.member == uid && a.At.After(limit) {
-				broken(rule, "%s reached %s %v after its grace", id, uid, a.At.Sub(limit))
+				rule.Break("%s reached %s %v after its grace", id, uid, a.At.Sub(limit))
 			}
 		}
 	}
@@ -153,7 +149,7 @@
 		rule.Chances++
 		for _, a := range arrivals[q.id] {
 			if after := a.At.Sub(q.at); after > leftGrace+slack {
-				broken(rule, "%s reached %s %v after its client left", q.id, a.member, after)
+				rule.Break("%s reached %s %v after its client left", q.id, a.member, after)
 			}
 		}
 	}
@@ -166,9 +162,9 @@
 	for _, s := range r.readies {
 		rule.Chances++
 		if s.failure != nil {
-			broken(rule, "%v", s.failure)
+			rule.Break("%v", s.failure)
 		} else if s.took > s.within {
-			broken(rule, "driver %s was ready after %v", s.driver, s.took)
+			rule.Break("driver %s was ready after %v", s.driver, s.took)
 		}
 	}
 	return rule
@@ -180,7 +176,7 @@
 	if r.measured {
 		rule.Chances++
 		if r.excess > mostExcess {
-			broken(rule, "%d descriptors more than at rest beside those of connections", r.excess)
+			rule.Break("%d descriptors more than at rest beside those of connections", r.excess)
 		}
 	}
 	for _, p := range r.drivers {
@@ -191,12 +187,12 @@
 		for _, s := range states {
 			rule.Chances++
 			if most := mostGoroutines + perConnection*(s.Sessions+s.Conns); s.Goroutines > most {
-				broken(rule, "driver %s: %d goroutines with %d sessions and %d connections to members", p.config.Name, s.Goroutines, s.Sessions, s.Conns)
+				rule.Break("driver %s: %d goroutines with %d sessions and %d connections to members", p.config.Name, s.Goroutines, s.Sessions, s.Conns)
 			}
 		}
 		rule.Chances++
 		if files := p.took().files; files > sockets {
-			broken(rule, "driver %s: %d descriptors, %d are allowed", p.config.Name, files, sockets)
+			rule.Break("driver %s: %d descriptors, %d are allowed", p.config.Name, files, sockets)
 		}
 	}
 	return rule, nil
@@ -208,7 +204,7 @@
 	for _, p := range r.drivers {
 		rule.Chances++
 		if taken := p.took().memory; taken > memoryMB<<20 {
-			broken(rule, "driver %s took %d MiB, %d are allowed", p.config.Name, taken>>20, memoryMB)
+			rule.Break("driver %s took %d MiB, %d are allowed", p.config.Name, taken>>20, memoryMB)
 		}
 	}
 	return rule
@@ -222,12 +218,12 @@
 	var exit *exec.ExitError
 	switch {
 	case r.killed:
-		broken(rule, "it still ran %v after SIGTERM", r.plan.killAfter())
+		rule.Break("it still ran %v after SIGTERM", r.plan.killAfter())
 	case p.exit == nil:
 	case errors.As(p.exit, &exit) && endedBySignal(exit) && r.plan.Signals == SignalEarlyTerm && r.plan.Load < earliestStart:
 		rule.Excused++
 	default:
-		broken(rule, "it ended with %v, %v after SIGTERM", p.exit, r.since(p.ended))
+		rule.Break("it ended with %v, %v after SIGTERM", p.exit, r.since(p.ended))
 	}
 	return rule
 }
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -10,11 +10,11 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
+	osprocess "umberladder/lab/process"
 	"umberladder/pgwire"
 	"umberladder/standin/catalog"
 )
@@ -26,14 +26,13 @@
 	log    string
 	args   []string
 
-	mu       sync.Mutex
-	cmd      *exec.Cmd
-	started  time.Time
-	over     chan struct{} // closed when the process has ended
-	exit     error
-	ended    time.Time
-	peaks    usage
-	lastOpen int // descriptors, when it was last looked
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	started time.Time
+	over    chan struct{} // closed when the process has ended
+	exit    error
+	ended   time.Time
+	peaks   usage
 }
 
 // usage is the most that a process took.
@@ -148,22 +147,16 @@
 	}
 }
 
-var residentPeak = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
-
 // watchEvery is how often a process's descriptors and memory are looked at.
 const watchEvery = 20 * time.Millisecond
 
 // watch follows what the process takes until it ends.
 func (p *process) watch(pid int, over chan struct{}) {
 	for {
-		files, ok := openFiles(pid)
-		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-		if found := residentPeak.FindSubmatch(status); ok && err == nil && found != nil {
-			kilobytes, _ := strconv.ParseInt(string(found[1]), 10, 64)
+		if files, ok := osprocess.OpenFiles(pid); ok {
 			p.mu.Lock()
-			p.peaks.memory = max(p.peaks.memory, kilobytes<<10)
+			p.peaks.memory = max(p.peaks.memory, osprocess.ResidentPeak(pid))
 			p.peaks.files = max(p.peaks.files, files)
-			p.lastOpen = files
 			p.mu.Unlock()
 		}
 		select {
@@ -174,11 +167,6 @@
 	}
 }
 
-func openFiles(pid int) (int, bool) {
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
-	return len(entries), err == nil
-}
-
 // took is the most that the process took so far.
 func (p *process) took() usage {
 	p.mu.Lock()
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"umberladder/lab"
+	osprocess "umberladder/lab/process"
 	"umberladder/standin/catalog"
 )
 
@@ -366,7 +367,7 @@
 	least := sockets
 	for range 10 {
 		time.Sleep(10 * time.Millisecond)
-		files, ok := openFiles(p.cmd.Process.Pid)
+		files, ok := osprocess.OpenFiles(p.cmd.Process.Pid)
 		if !ok {
 			continue
 		}
--- a/lab/topology.go
+++ b/lab/topology.go
@@ -292,7 +292,7 @@
 	once := &Rule{Name: "no write at two primaries"}
 	for tag, cs := range commits {
 		if once.Chances++; len(cs) > 1 {
-			once.broken("%s was committed at %s and at %s", tag, cs[0].Node, cs[1].Node)
+			once.Break("%s was committed at %s and at %s", tag, cs[0].Node, cs[1].Node)
 		}
 	}
 	stopped, late := p.stopped(all, r.Slack)
@@ -371,7 +371,7 @@
 					continue
 				}
 				if last[s.Conn].After(told.Add(stopWithin + slack)) {
-					stopped.broken("%s sent %s to %s %v after it was told of timeline %d", d.Name, s.Tag, s.Node, last[s.Conn].Sub(told), m.timeline)
+					stopped.Break("%s sent %s to %s %v after it was told of timeline %d", d.Name, s.Tag, s.Node, last[s.Conn].Sub(told), m.timeline)
 				}
 			}
 		}
@@ -381,7 +381,7 @@
 			}
 			late.Chances++
 			if sent, began, ok := guarded(all, m.old, c.Value); ok && began.Sub(sent) > begin+slack {
-				late.broken("%s began at %s %v after it was sent there, %v after %s was promoted", c.Value, m.old, began.Sub(sent), began.Sub(m.at), m.now)
+				late.Break("%s began at %s %v after it was sent there, %v after %s was promoted", c.Value, m.old, began.Sub(sent), began.Sub(m.at), m.now)
 			}
 		}
 		late.Chances++ // those that were kept from it too
@@ -438,7 +438,7 @@
 		for i := range all {
 			st := &all[i]
 			if st.Node == s.usurper && st.Kind == standin.KindWrite && st.Ran && st.Arrived.After(s.from) && st.Arrived.Before(s.to) {
-				r.broken("%s wrote %s at %s, %v after it claimed what it is not", st.Driver, st.Tag, st.Node, st.Arrived.Sub(s.from))
+				r.Break("%s wrote %s at %s, %v after it claimed what it is not", st.Driver, st.Tag, st.Node, st.Arrived.Sub(s.from))
 			}
 		}
 	}
@@ -474,10 +474,10 @@
 			r.Chances++
 			outages = append(outages, first.Sub(m.at))
 			if took := first.Sub(m.at); took > within+slack {
-				r.broken("%s took its first write %v after its promotion", m.now, took)
+				r.Break("%s took its first write %v after its promotion", m.now, took)
 			}
 		case end.Sub(m.at) > within+slack && !p.calm(m.at.Add(within)):
-			r.broken("%s took no write after its promotion", m.now)
+			r.Break("%s took no write after its promotion", m.now)
 		}
 	}
 	return r, outages
