Tokens carry an excepted transaction by its distance, in one form

Change: the distance from the bound is carried, and one that is 0 in value or beyond the bound is refused.

--- a/token/token.go
+++ b/token/token.go
@@ -242,29 +242,47 @@
 	return t.appendExtensions(b)
 }
 
-// The extensions that hold the transactions of each place, in order of the slices: the id that all are below, and the
-// one below it that is excepted, 0 for none. Versions that do not know an extension pass over it; one that knows only
+// The extensions that hold the transactions of each place, in order of the slices: the id that all are below, and by how
+// much less the one is that is excepted, 0 for none. Versions that do not know an extension pass over it; one that knows only
 // the first takes the exception for shown, which asks for more.
 const (
 	extBelow  = 2
 	extExcept = 6
 )
 
-func belowOf(e *entry) *uint64  { return &e.at.Transactions.Below }
-func exceptOf(e *entry) *uint64 { return &e.at.Transactions.Except }
+func below(e *entry) uint64 { return e.at.Transactions.Below }
+
+func setBelow(e *entry, value uint64) { e.at.Transactions.Below = value }
+
+func exceptDistance(e *entry) uint64 {
+	if e.at.Transactions.Except == 0 {
+		return 0
+	}
+	return e.at.Transactions.Below - e.at.Transactions.Except
+}
+
+func setExceptDistance(e *entry, value uint64) {
+	switch below := e.at.Transactions.Below; value {
+	case 0:
+	case below:
+		e.at.Transactions.Except = below // no set has this, so that it is told as not normal
+	default:
+		e.at.Transactions.Except = below - value
+	}
+}
 
 // appendExtensions appends the number of extensions and each that says anything.
 func (t Token) appendExtensions(b []byte) []byte {
-	below, except := t.column(belowOf), t.column(exceptOf)
+	bounds, exceptions := t.column(below), t.column(exceptDistance)
 	count := byte(0)
-	for _, column := range [][]byte{below, except} {
+	for _, column := range [][]byte{bounds, exceptions} {
 		if column != nil {
 			count++
 		}
 	}
 	b = append(b, count)
-	b = appendExtension(b, extBelow, below)
-	return appendExtension(b, extExcept, except)
+	b = appendExtension(b, extBelow, bounds)
+	return appendExtension(b, extExcept, exceptions)
 }
 
 func appendExtension(b []byte, typ uint64, body []byte) []byte {
@@ -277,10 +295,10 @@
 }
 
 // column is one number of each entry, nil if all are 0.
-func (t Token) column(of func(*entry) *uint64) (body []byte) {
+func (t Token) column(of func(*entry) uint64) (body []byte) {
 	any := false
 	for i := range t.entries {
-		value := *of(&t.entries[i])
+		value := of(&t.entries[i])
 		any = any || value > 0
 		body = binary.AppendUvarint(body, value)
 	}
@@ -425,9 +443,9 @@
 		switch {
 		case !r.ok:
 		case typ == extBelow:
-			err = takeColumn(body, entries, belowOf)
+			err = takeColumn(body, entries, setBelow)
 		case typ == extExcept:
-			err = takeColumn(body, entries, exceptOf)
+			err = takeColumn(body, entries, setExceptDistance)
 		}
 		if err != nil {
 			return err
@@ -448,13 +466,13 @@
 }
 
 // takeColumn reads one number of each entry.
-func takeColumn(body []byte, entries []entry, of func(*entry) *uint64) error {
+func takeColumn(body []byte, entries []entry, set func(*entry, uint64)) error {
 	r := reader{b: body, ok: true}
 	any := false
 	for i := range entries {
-		value := of(&entries[i])
-		*value = r.number()
-		any = any || *value > 0
+		value := r.number()
+		set(&entries[i], value)
+		any = any || value > 0
 	}
 	if !r.ok || len(r.b) > 0 || !any {
 		return bad("transaction ids do not match the slices")
--- a/token/token_test.go
+++ b/token/token_test.go
@@ -49,6 +49,19 @@
 	})
 }
 
+// TestExceptionsHaveOneForm: an exception that no set has is refused, so that a token has one text.
+func TestExceptionsHaveOneForm(t *testing.T) {
+	at := position.Position{Timeline: 1, LSN: 64, Transactions: position.Transactions{Below: 20, Except: 10}}
+	body := Token{}.With("news", at).appendBody(nil, 0)
+	for distance, ok := range map[byte]bool{10: true, 19: true, 0: false, 1: false, 20: false, 21: false} {
+		b := append(body[:len(body)-1:len(body)-1], distance)
+		got, err := Parse(base64.RawURLEncoding.EncodeToString(binary.BigEndian.AppendUint32(b, sum(b))))
+		if (err == nil) != ok {
+			t.Errorf("distance %d: %+v, %v", distance, got, err)
+		}
+	}
+}
+
 // TestLattice: join is idempotent, commutative, associative and the least upper bound of the order.
 func TestLattice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
