--- a/lab/experiment/sweep.go
+++ b/lab/experiment/sweep.go
@@ -94,12 +94,8 @@
 	held = len(s.done)
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(max(1, o.Procs))
-	for n := range x.Repeats { // so that one that is cut short has something of each arm
-		for i := range x.Arms {
-			if _, done := s.done[[2]int{i, n}]; !done {
-				g.Go(func() error { return s.play(ctx, i, n) })
-			}
-		}
+	for _, run := range s.missing() { // listed before any begins, as they write what is done
+		g.Go(func() error { return s.play(ctx, run[0], run[1]) })
 	}
 	err = g.Wait()
 	for i := range x.Arms {
@@ -114,6 +110,19 @@
 	return all, held, err
 }
 
+// missing lists the runs that are not done, by arm and repeat: the first repeat of each arm first, so that a sweep that is
+// cut short has something of each.
+func (s *sweep) missing() (runs [][2]int) {
+	for n := range s.x.Repeats {
+		for i := range s.x.Arms {
+			if _, done := s.done[[2]int{i, n}]; !done {
+				runs = append(runs, [2]int{i, n})
+			}
+		}
+	}
+	return runs
+}
+
 // open reads what there is, and leaves the file ready for more.
 func (s *sweep) open(path string) error {
 	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
