--- a/cmd/citest/judge.go
+++ b/cmd/citest/judge.go
@@ -97,15 +97,13 @@
 		return ""
 	}
 	run.tests[e.Test] = end
-	text := run.output[e.Test]
-	if end == running || end == failed {
-		return ""
-	}
-	delete(run.output, e.Test)
 	if end == skipped {
-		return text
+		show = run.output[e.Test]
+	}
+	if end == passed || end == skipped {
+		delete(run.output, e.Test)
 	}
-	return ""
+	return show
 }
 
 // framing is how the lines begin that the testing package itself writes of each test.
--- a/cmd/mutants/main.go
+++ b/cmd/mutants/main.go
@@ -12,14 +12,19 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"umberladder/lab/soak"
 )
 
 // mutant is a change of one file.
@@ -98,30 +103,32 @@
 }
 
 // foundBySoak tells by which seeds and rules of the soak a program's fault is found, "" if it is not.
-func foundBySoak(ctx context.Context, program, seeds string) (string, error) {
-	out, err := exec.CommandContext(ctx, program, "lab", "soak", "--seeds", seeds, "--procs", "2").CombinedOutput()
-	if err == nil {
-		return "", ctx.Err()
-	}
-	var where, rules []string
-	for _, line := range strings.Split(string(out), "\n") {
-		fields := strings.Fields(line)
-		switch {
-		case len(fields) > 3 && fields[0] == "seed" && fields[len(fields)-1] != "0":
-			where = append(where, strings.TrimSuffix(fields[1], ":"))
-		case len(fields) > 3 && fields[0] != "seed" && isNumber(fields[len(fields)-1]) && isNumber(fields[len(fields)-2]) && fields[len(fields)-1] != "0":
-			rules = append(rules, strings.Join(fields[:len(fields)-3], " ")+" "+fields[len(fields)-1])
+func foundBySoak(ctx context.Context, program string, first, last uint64) (string, error) {
+	s := &soak.Series{Program: program, Procs: 2, Out: io.Discard}
+	if err := s.Play(ctx, first, last); err != nil {
+		return "", err
+	}
+	var seeds []string
+	rules := map[string]int{}
+	for _, r := range s.Results() {
+		if r.Broken() == 0 {
+			continue
+		}
+		seeds = append(seeds, strconv.FormatUint(r.Plan.Seed, 10))
+		for _, rule := range r.Rules {
+			rules[rule.Name] += len(rule.Broken)
 		}
 	}
-	if len(where) == 0 {
-		return "", fmt.Errorf("the soak ended with %w: %s", err, out[max(0, len(out)-300):])
+	if len(seeds) == 0 {
+		return "", nil
 	}
-	return "seeds " + strings.Join(where, " ") + ": " + strings.Join(rules, ", "), nil
-}
-
-func isNumber(text string) bool {
-	_, err := strconv.Atoi(text)
-	return err == nil
+	var counts []string
+	for _, name := range slices.Sorted(maps.Keys(rules)) {
+		if rules[name] > 0 {
+			counts = append(counts, fmt.Sprintf("%s %d", name, rules[name]))
+		}
+	}
+	return "seeds " + strings.Join(seeds, " ") + ": " + strings.Join(counts, ", "), nil
 }
 
 // unbuilt begins what is told of a mutant that is none.
@@ -132,9 +139,16 @@
 	procs := flag.Int("procs", 2, "mutants at once")
 	seeds := flag.String("soak", "", "seeds of the soak, A-B, that plays the driver's process in place of the explorer")
 	flag.Parse()
-	list := "explore/testdata/mutants.txt"
+	list, find := "explore/testdata/mutants.txt", found
 	if *seeds != "" {
+		first, last, err := soak.ParseSeeds(*seeds)
+		if err != nil {
+			return fmt.Errorf("-soak: %w", err)
+		}
 		list = "lab/soak/testdata/mutants.txt"
+		find = func(ctx context.Context, program string) (string, error) {
+			return foundBySoak(ctx, program, first, last)
+		}
 	}
 	all, err := read(list)
 	if err != nil {
@@ -159,11 +173,7 @@
 				fmt.Fprintf(os.Stderr, "%s: %v\n", m.name, err)
 				return nil
 			}
-			if *seeds != "" {
-				by[i], err = foundBySoak(ctx, program, *seeds)
-			} else {
-				by[i], err = found(ctx, program)
-			}
+			by[i], err = find(ctx, program)
 			fmt.Fprintf(os.Stderr, "%s: %s\n", m.name, cmp.Or(by[i], "lives"))
 			return err
 		})
--- a/cmd/umberladder/soak.go
+++ b/cmd/umberladder/soak.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"strconv"
-	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -24,8 +22,8 @@
 			first, last := seed, seed
 			if seeds != "" {
 				var err error
-				if first, last, err = seedRange(seeds); err != nil {
-					return err
+				if first, last, err = soak.ParseSeeds(seeds); err != nil {
+					return fmt.Errorf("--seeds: %w", err)
 				}
 			}
 			var err error
@@ -49,17 +47,3 @@
 	flags.IntVar(&s.Procs, "procs", 1, "seeds played side by side")
 	return cmd
 }
-
-// seedRange reads a range of seeds, A-B.
-func seedRange(text string) (first, last uint64, err error) {
-	from, to, found := strings.Cut(text, "-")
-	if !found {
-		to = from
-	}
-	first, err1 := strconv.ParseUint(from, 10, 64)
-	last, err2 := strconv.ParseUint(to, 10, 64)
-	if err1 != nil || err2 != nil || first > last {
-		return 0, 0, fmt.Errorf("--seeds %q is no range; one looks like 1-50", text)
-	}
-	return first, last, nil
-}
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -250,8 +250,10 @@
 		p.config.Discovery = r.agents[to].Address()
 		return errors.Join(p.writeConfig(), p.signal(syscall.SIGHUP))
 	}
-	gap := func() { r.sleep(ctx, time.Duration(10+r.rng.IntN(140))*time.Millisecond) }
-	trouble := func() error { return r.trouble() }
+	wait := func() error {
+		r.sleep(ctx, time.Duration(10+r.rng.IntN(140))*time.Millisecond)
+		return nil
+	}
 	term := func() error {
 		if r.termed.IsZero() {
 			r.termed = time.Now()
@@ -259,28 +261,27 @@
 		return p.signal(syscall.SIGTERM)
 	}
 	var steps []func() error
-	wait := func() error { gap(); return nil }
 	switch r.plan.Signals {
 	case SignalHupHupTerm:
-		steps = []func() error{func() error { return reload(1) }, wait, func() error { return reload(0) }, wait, trouble, term}
+		steps = []func() error{func() error { return reload(1) }, wait, func() error { return reload(0) }, wait, r.trouble, term}
 	case SignalTermTerm:
-		steps = []func() error{trouble, term, wait, term}
+		steps = []func() error{r.trouble, term, wait, term}
 	case SignalTermHup:
-		steps = []func() error{trouble, term, wait, func() error { return reload(1) }}
+		steps = []func() error{r.trouble, term, wait, func() error { return reload(1) }}
 	case SignalHalfHupTerm:
 		half := func() error {
 			r.reloaded = true
 			p.config.Discovery = r.agents[1].Address()
 			return errors.Join(p.writeHalfConfig(), p.signal(syscall.SIGHUP))
 		}
-		steps = []func() error{half, wait, p.writeConfig, wait, trouble, term}
+		steps = []func() error{half, wait, p.writeConfig, wait, r.trouble, term}
 	case SignalSilentHup:
 		r.agents[1].Silence(true)
-		steps = []func() error{func() error { return reload(1) }, wait, trouble, term, wait, func() error { r.agents[1].Silence(false); return nil }}
+		steps = []func() error{func() error { return reload(1) }, wait, r.trouble, term, wait, func() error { r.agents[1].Silence(false); return nil }}
 	case SignalBeside:
-		steps = []func() error{func() error { return r.restartSecond(ctx) }, wait, trouble, term}
+		steps = []func() error{func() error { return r.restartSecond(ctx) }, wait, r.trouble, term}
 	default:
-		steps = []func() error{trouble, term}
+		steps = []func() error{r.trouble, term}
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -303,9 +304,14 @@
 		case <-time.After(r.plan.killAfter()):
 			p.kill()
 		}
-		if ctx.Err() == nil && p.start() == nil {
-			r.awaitReady(p, restartReady)
+		if ctx.Err() != nil {
+			return
+		}
+		if err := p.start(); err != nil {
+			r.readies = append(r.readies, readiness{driver: p.config.Name, failure: err})
+			return
 		}
+		r.awaitReady(p, restartReady)
 	})
 	return nil
 }
--- a/lab/soak/series.go
+++ b/lab/soak/series.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -58,6 +60,23 @@
 	return nil
 }
 
+// ParseSeeds reads a range of seeds, A-B, or one.
+func ParseSeeds(text string) (first, last uint64, err error) {
+	from, to, found := strings.Cut(text, "-")
+	if !found {
+		to = from
+	}
+	first, err1 := strconv.ParseUint(from, 10, 64)
+	last, err2 := strconv.ParseUint(to, 10, 64)
+	if err1 != nil || err2 != nil || first > last {
+		return 0, 0, fmt.Errorf("%q is no range of seeds; one looks like 1-50", text)
+	}
+	return first, last, nil
+}
+
+// Results are the judgements of the seeds that were played to their end, in the order in which they ended.
+func (s *Series) Results() []*Result { return s.results }
+
 // Broken is how many times a rule was broken in all seeds.
 func (s *Series) Broken() (n int) {
 	for _, r := range s.results {
@@ -66,9 +85,6 @@
 	return n
 }
 
-// Played is how many seeds were played to their end.
-func (s *Series) Played() int { return len(s.results) }
-
 // mostBreaks is how many breaks of a seed are written out.
 const mostBreaks = 5
 
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -20,7 +20,7 @@
 	if err := s.Play(t.Context(), first, last); err != nil {
 		t.Fatal(err)
 	}
-	if s.Write(&out); s.Broken() > 0 || s.Played() != last-first+1 {
+	if s.Write(&out); s.Broken() > 0 || len(s.Results()) != last-first+1 {
 		t.Error(out.String())
 	}
 	for _, sum := range s.sums() {
--- a/standin/log.go
+++ b/standin/log.go
@@ -454,19 +454,15 @@
 // snapshot is what pg_current_snapshot tells on the node: the lowest transaction that is not over, the first that has
 // not begun, and on a primary those between that run. A server in recovery does not list them.
 func (n *Node) snapshot() string {
-	if n.believes {
-		running := slices.Sorted(maps.Keys(n.active))
-		lowest := n.group.xid
-		list := make([]string, len(running))
-		for i, xid := range running {
-			lowest = min(lowest, xid)
-			list[i] = strconv.FormatUint(xid, 10)
-		}
-		return fmt.Sprintf("%d:%d:%s", lowest, n.group.xid, strings.Join(list, ","))
+	if !n.believes {
+		next := n.over()
+		return fmt.Sprintf("%d:%d:", n.oldest(max(n.applied, n.shown), next), next)
+	}
+	var running []string
+	for _, xid := range slices.Sorted(maps.Keys(n.active)) {
+		running = append(running, strconv.FormatUint(xid, 10))
 	}
-	shown := max(n.applied, n.shown)
-	next := n.branch.below(shown)
-	return fmt.Sprintf("%d:%d:", n.oldest(shown, next), next)
+	return fmt.Sprintf("%d:%d:%s", n.over(), n.group.xid, strings.Join(running, ","))
 }
 
 // oldest is the lowest transaction below next that runs as far as a replica knows that has replayed the first records:
