Replies, startup and statements of the platform's clients stand once, in standin/catalog

Need: found by reading the change again. The rig of platform's tests, the soak's clients and its test of descriptors each read replies in a loop of their own and wrote the same startup and statements.

Change: catalog.ReadReply, AppendStartup, ReadText and WriteText serve all three. A malformed reply stays fatal in the rig and now ends the soak's connection, where it was passed over; readiness waits for the whole reply to the empty query.

--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -115,10 +115,6 @@
 	last  time.Time // when the last answer came
 }
 
-func appendStartup(b []byte) []byte {
-	return pgwire.AppendStartup(b, map[string]string{"user": "worker", "database": "catalog"})
-}
-
 // dial opens a connection and starts to read it.
 func (c *client) dial() (*connection, error) {
 	nc, err := net.DialTimeout("tcp", c.driver.config.Listen, time.Second)
@@ -127,7 +123,7 @@
 	}
 	k := &connection{Conn: nc, book: c.run.book, over: make(chan struct{})}
 	k.book.note(func() { k.book.open++ })
-	if _, err := nc.Write(appendStartup(nil)); err != nil {
+	if _, err := nc.Write(catalog.AppendStartup(nil)); err != nil {
 		nc.Close()
 		k.book.note(func() { k.book.open-- })
 		return nil, err
@@ -136,36 +132,20 @@
 	return k, nil
 }
 
-// read takes answers until the connection ends. The first ReadyForQuery ends the startup.
+// read takes answers until the connection ends. The first reply is that to the startup.
 func (k *connection) read() {
 	defer close(k.over)
 	defer k.book.note(func() { k.book.open-- })
 	defer k.Close()
 	r := pgwire.NewReader(k.Conn, mostMessage)
-	started := false
-	var code, value string
-	for {
-		typ, body, err := r.Next()
+	for started := false; ; started = true {
+		reply, err := catalog.ReadReply(r)
 		if err != nil {
-			k.ended(err, code)
+			k.ended(err, reply.Code)
 			return
 		}
-		switch typ {
-		case pgwire.MsgErrorResponse:
-			if e, err := pgwire.ParseError(typ, body); err == nil {
-				code = e.Code
-			}
-		case pgwire.MsgDataRow:
-			if values, err := pgwire.ParseDataRow(body, nil); err == nil && len(values) == 1 {
-				value = string(values[0])
-			}
-		case pgwire.MsgReadyForQuery:
-			if !started {
-				started = true
-				continue
-			}
-			k.answered(value, code)
-			code, value = "", ""
+		if started {
+			k.answered(reply.Value, reply.Code)
 		}
 	}
 }
@@ -288,10 +268,10 @@
 func (c *client) next() (*request, []byte) {
 	c.number++
 	r := &request{id: fmt.Sprintf("%sn%d", c.name, c.number), driver: c.driver.config.Name, deadline: c.run.plan.ReadDeadline, write: c.rng.IntN(5) == 0}
-	text := fmt.Sprintf(`SELECT body FROM objects WHERE oid = '7f3a' /* id=%s,c=article,d=%d,cluster=%d */`, r.id, r.deadline.Milliseconds(), catalog.Group)
+	text := catalog.ReadText(r.id, "article", r.deadline)
 	if r.write {
 		r.deadline = c.run.plan.WriteDeadline
-		text = fmt.Sprintf(`INSERT INTO objects (oid, body) VALUES ('7f3a', '\x9f03') RETURNING body /* id=%s,c=write,d=%d,cluster=%d */`, r.id, r.deadline.Milliseconds(), catalog.Group)
+		text = catalog.WriteText(r.id, r.deadline)
 	}
 	return r, pgwire.AppendQuery(nil, text)
 }
@@ -386,7 +366,7 @@
 				break
 			}
 			if len(held)%2 == 0 {
-				nc.Write(appendStartup(nil))
+				nc.Write(catalog.AppendStartup(nil))
 			}
 			held = append(held, nc)
 		}
--- a/lab/soak/descriptors_test.go
+++ b/lab/soak/descriptors_test.go
@@ -93,24 +93,20 @@
 	}
 	defer nc.Close()
 	nc.SetDeadline(time.Now().Add(time.Second))
-	text := fmt.Sprintf(`SELECT body FROM objects WHERE oid = '7f3a' /* id=%s,c=article,d=900,cluster=%d */`, id, catalog.Group)
-	if _, err := nc.Write(pgwire.AppendQuery(appendStartup(nil), text)); err != nil {
+	if _, err := nc.Write(pgwire.AppendQuery(catalog.AppendStartup(nil), catalog.ReadText(id, "article", 900*time.Millisecond))); err != nil {
 		return err
 	}
-	for reader := pgwire.NewReader(nc, mostMessage); ; {
-		typ, body, err := reader.Next()
-		if err != nil {
+	for reader, started := pgwire.NewReader(nc, mostMessage), false; ; started = true {
+		reply, err := catalog.ReadReply(reader)
+		switch {
+		case reply.Code != "":
+			return &pgwire.Error{Code: reply.Code, Message: "refused"}
+		case err != nil:
 			return err
-		}
-		switch typ {
-		case pgwire.MsgDataRow:
+		case started && reply.Value == "":
+			return fmt.Errorf("answered without a value, by messages %q", reply.Types)
+		case started:
 			return nil
-		case pgwire.MsgErrorResponse:
-			e, err := pgwire.ParseError(typ, body)
-			if err != nil {
-				return err
-			}
-			return e
 		}
 	}
 }
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -136,15 +137,18 @@
 	}
 	defer nc.Close()
 	nc.SetDeadline(time.Now().Add(time.Second))
-	if _, err := nc.Write(pgwire.AppendQuery(appendStartup(nil), "")); err != nil {
+	if _, err := nc.Write(pgwire.AppendQuery(catalog.AppendStartup(nil), "")); err != nil {
 		return err
 	}
-	for r := pgwire.NewReader(nc, mostMessage); ; {
-		typ, _, err := r.Next()
-		if err != nil || typ == pgwire.MsgEmptyQueryResponse {
-			return err
-		}
+	r := pgwire.NewReader(nc, mostMessage)
+	if _, err := catalog.ReadReply(r); err != nil { // to the startup
+		return err
 	}
+	reply, err := catalog.ReadReply(r)
+	if err == nil && !strings.ContainsRune(reply.Types, pgwire.MsgEmptyQueryResponse) {
+		err = fmt.Errorf("an empty query was answered by messages %q", reply.Types)
+	}
+	return err
 }
 
 // watchEvery is how often a process's descriptors and memory are looked at.
