An empty query goes ahead of each on a used connection, so old answers stand before it

Cause: members may write an answer twice, and answers name no request. Each query's last byte was held back by 2 to 8 ms; a copy that came later than that was the first row behind the query and passed as its answer.

Evidence: TestASecondCopyThatComesLate, new, failed before with copies 3, 10, 30 and 50 ms late (late1 got "value of late0" in each) and held with 0 and 1 ms.

Why this works: a member answers in order and an empty query at once, so what it wrote for earlier queries stands before EmptyQueryResponse. The last byte goes only behind that, with nothing before or after it; whatever else comes, or nothing in time, ends the connection while the member can't have begun. Polls go behind an empty query too. TestAFenceHoldsTheLastByteBack has six things come in its place, TestAFenceThatIsAnsweredReleasesTheLastByte its answer in pieces and twice. Existing tests are unchanged. Connections remember four exchanges, and surplus bytes are logged with them.

--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -67,6 +67,20 @@
 	return err == nil && quiet
 }
 
+// Pending tells whether bytes wait to be read. An end alone does not count.
+func (s *Socket) Pending() bool {
+	pending := false
+	if s.raw == nil {
+		return false
+	}
+	var one [1]byte
+	err := s.raw.Control(func(fd uintptr) {
+		n, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		pending = e == nil && n > 0
+	})
+	return err == nil && pending
+}
+
 // AcceptNow is the next connection that the system has accepted for a TCP listener; an error if there is none yet.
 func AcceptNow(l net.Listener) (net.Conn, error) {
 	sc, ok := l.(syscall.Conn)
--- a/standin/catalog/member.go
+++ b/standin/catalog/member.go
@@ -193,8 +193,13 @@
 	}
 }
 
-// answerQuery answers a probe or a request.
+// answerQuery answers an empty query, a probe or a request.
 func (m *Member) answerQuery(c net.Conn, number int, text string) {
+	if text == "" {
+		m.waitWhileHung()
+		c.Write(pgwire.AppendReadyForQuery(pgwire.AppendEmpty(nil, pgwire.MsgEmptyQueryResponse), pgwire.TxIdle))
+		return
+	}
 	if text == "SHOW gauges" {
 		m.waitWhileHung()
 		now := float64(time.Now().UnixMicro()) / 1e6
