Silence on a checked connection closes no others: it is the member's queue

Cause, one part: the module takes a request that waits for long on a connection that had been idle for one that was dropped unseen. It then closes all connections of that age for 5 s before they are used (lost, freshen), and each following request pays for a handshake. Under overload every queue looks like that, so slow members get a handshake on top of each request.

Change: Config.ChecksConns says that an attempt goes out only on a connection that was shown to work right before; then silence proves nothing about connections. The platform's driver says so, as an empty query goes ahead of each. TestSilenceOnCheckedConnectionsClosesNone failed without the condition.

--- a/balance/api.go
+++ b/balance/api.go
@@ -95,6 +95,7 @@
 	MaxRetryAfter time.Duration // the longest such advice that is followed
 	DialTimeout   time.Duration // then an attempt ends as OutcomeConnectFailed; for information
 	ListsRole     bool          // list entries show the role, late
+	ChecksConns   bool          // an attempt goes out only on a connection that was shown to work right before
 }
 
 // Role is what a server says it is.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -530,7 +530,7 @@
 // dropped unseen, on any way; a hung server costs one more attempt, on a new connection, before it is left.
 func (r *Router) lost(s *server, q *request) bool {
 	i := slices.IndexFunc(s.out, func(f flight) bool { return f.id == q.id && f.attempt == q.sends-1 })
-	if i < 0 || s.out[i].idle < r.interval || r.now < r.scarce {
+	if i < 0 || s.out[i].idle < r.interval || r.now < r.scarce || r.cfg.ChecksConns {
 		return false
 	}
 	if r.reap == 0 || s.out[i].idle < r.reap || r.now-r.reapedAt > regain {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -546,6 +546,25 @@
 	}
 }
 
+// TestSilenceOnCheckedConnectionsClosesNone has a server keep a read without an answer on a connection that had been idle: where
+// connections are checked before each use, as on the platform, that is the server's queue, and the other connections stay.
+func TestSilenceOnCheckedConnectionsClosesNone(t *testing.T) {
+	g := trickle(t, true)
+	g.r.cfg.ChecksConns = true
+	g.now += 3 * time.Second
+	g.ask(1, anyRead)
+	g.run(time.Second)
+	if len(g.tries[1]) != 2 {
+		t.Fatalf("read went to %v, want a copy elsewhere as the server keeps silent", g.tries[1])
+	}
+	g.end(1, 1, g.tries[1][1], OutcomeOK, RoleReplica)
+	g.now += 4 * time.Second
+	g.ask(2, anyRead)
+	if n := g.count(ActionDisconnect); n != 0 {
+		t.Errorf("%d servers' idle connections were closed as if one had been dropped unseen", n)
+	}
+}
+
 func TestKeyedWriteLostWithItsConnectionIsSentAgain(t *testing.T) {
 	g := trickle(t, true)
 	g.ask(1, keyed)
