Among equals a server with an idle connection goes first

Cause: of servers with equally many outstanding requests the next in turn was taken (inTurn). A driver with a few requests a second before a hundred members took each to another one, first to all that it had no connection to, and each handshake costs a member 3 to 6 ms of work that its queue waits for.

Change: ties go to servers with an idle connection, and to cold ones, which their credit holds back; the others get their turn when those are busy.

TestReadsOneAtATimeOpenFewConnections: 39 servers used by 60 reads before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -255,14 +255,13 @@
 		r.gone(s)
 		return
 	case s == nil:
-		g := r.groupOf(e.Group)
-		s = &server{id: e.Server, group: g, credit: r.rng.Float64(), limit: r.startLimit(),
+		s = &server{id: e.Server, group: r.groupOf(e.Group), credit: r.rng.Float64(), limit: r.startLimit(),
 			polled: !r.cfg.Probing, turn: r.rng.Uint64N(r.turn)} // drawn: routers must not all begin at one
 		s.timer.of = s
 		r.pollAt(s, r.now+time.Duration(r.rng.Float64()*float64(r.idle-r.interval)))
 		r.servers[s.id] = s
-		g.members = append(g.members, s)
-		slices.SortFunc(g.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
+		s.group.members = append(s.group.members, s)
+		slices.SortFunc(s.group.members, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 	case e.Started > max(s.started, s.assumed):
 		s.credit = r.rng.Float64()
 		r.pollAt(s, r.now)
@@ -479,10 +478,7 @@
 
 // place sends q to its server, if there is one that may have it now.
 func (r *Router) place(q *request) bool {
-	if !r.maySend(q) {
-		return false
-	}
-	if q.sends == 0 && !q.pool().admits() || q.full && r.budget < 1 {
+	if !r.maySend(q) || q.sends == 0 && !q.pool().admits() || q.full && r.budget < 1 {
 		return false // a full server's peers are likely full: hold it
 	}
 	s := r.pick(q)
@@ -623,14 +619,22 @@
 		func(s *server) bool { return s.polling && s.polledAt == q.askedAt })
 }
 
-// inTurn orders by outstanding requests, ties in turn. While connections are refused, open ones go first:
-// that keeps a small router on the few servers that it is connected to.
+// inTurn orders by outstanding requests, ties by idle connections, as a new one costs the server work, then in
+// turn. While connections are refused, open ones go first: that keeps a small router on its few servers.
 func (r *Router) inTurn(a, b *server) int {
 	if r.now < r.scarce {
 		return cmp.Or(cmp.Compare(b.idleConns(), a.idleConns()), cmp.Compare(b.answered, a.answered))
 	}
 	return cmp.Or(cmp.Compare(r.doubt(a), r.doubt(b)), cmp.Compare(len(a.out), len(b.out)),
-		cmp.Compare(a.turn, b.turn))
+		cmp.Compare(r.atHand(b), r.atHand(a)), cmp.Compare(a.turn, b.turn))
+}
+
+// atHand is 1 for a server with an idle connection, and for a cold one, which its credit holds back.
+func (r *Router) atHand(s *server) int {
+	if r.warmth(s) < 1 {
+		return 1
+	}
+	return s.idleConns()
 }
 
 // doubt is how long a server that left a request unanswered is passed over, until it answers one.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -742,6 +742,36 @@
 	}
 }
 
+// TestReadsOneAtATimeOpenFewConnections has a router of many servers with one read at a time, which must not take each to another
+// server, as every new connection costs that one work; and then with many at once, which must leave none out.
+func TestReadsOneAtATimeOpenFewConnections(t *testing.T) {
+	const servers = 40
+	g := newRig(t, baseConfig(), servers)
+	g.ready(servers)
+	used := map[ServerID]bool{}
+	read := func(id RequestID) {
+		g.ask(id, anyRead)
+		if len(g.tries[id]) != 1 {
+			t.Fatalf("read %d went to %v", id, g.tries[id])
+		}
+		used[g.tries[id][0]] = true
+	}
+	for id := RequestID(1); id <= 60; id++ {
+		read(id)
+		g.now += ms
+		g.end(id, 0, g.tries[id][0], OutcomeOK, RoleReplica)
+	}
+	if len(used) > 4 {
+		t.Errorf("%d servers used by 60 reads, one at a time", len(used))
+	}
+	for id := RequestID(100); id < 100+servers-1; id++ {
+		read(id)
+	}
+	if len(used) != servers-1 { // all but the primary
+		t.Errorf("%d servers of %d used by as many reads at once", len(used), servers-1)
+	}
+}
+
 func TestServerThatLeftARequestUnansweredIsPassedOver(t *testing.T) {
 	g := trickle(t, false)
 	g.ask(1, anyRead)
