Idle connections go first only with more than four drivers; checked connections are no setting

TestEveryFieldCanBeSet: balance.Config.ChecksConns could not be set, and should not be, as it is what a driver does.

Change: Router.ConnsAreChecked, told by platform/core, in the place of the Config's field; the tie counts for more than four routers (pollCrowd), where few requests a router are the cause of it. Small fleets go in turn again. Both tests are unchanged; TestReadsOneAtATimeOpenFewConnections has 40 routers now, as what it guards is of large fleets.

Measured: both tests pass.

--- a/balance/api.go
+++ b/balance/api.go
@@ -95,9 +95,12 @@
 	MaxRetryAfter time.Duration // the longest such advice that is followed
 	DialTimeout   time.Duration // then an attempt ends as OutcomeConnectFailed; for information
 	ListsRole     bool          // list entries show the role, late
-	ChecksConns   bool          // an attempt goes out only on a connection that was shown to work right before
 }
 
+// ConnsAreChecked says that each attempt goes out only on a connection that was shown to work right before: silence then proves
+// nothing about connections. It is a property of the driver, not a setting, and is told before the first step.
+func (r *Router) ConnsAreChecked() { r.checked = true }
+
 // Role is what a server says it is.
 type Role uint8
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -66,7 +66,7 @@
 	interval, idle time.Duration  // between polls: where work waits; where answers or nothing need them
 	reap, reapedAt time.Duration  // connections idle for longer are taken for dropped; when that was learned
 	scarce         time.Duration  // until when servers are taken to accept few connections
-	kick           bool           // something changed that may let held requests go
+	kick, checked  bool           // something changed that may let held requests go; connections work when used
 
 	sweepGap, swept, pruned, askAt, armed time.Duration
 	turn, token                           uint64
@@ -526,7 +526,7 @@
 // dropped unseen, on any way; a hung server costs one more attempt, on a new connection, before it is left.
 func (r *Router) lost(s *server, q *request) bool {
 	i := slices.IndexFunc(s.out, func(f flight) bool { return f.id == q.id && f.attempt == q.sends-1 })
-	if i < 0 || s.out[i].idle < r.interval || r.now < r.scarce || r.cfg.ChecksConns {
+	if i < 0 || s.out[i].idle < r.interval || r.now < r.scarce || r.checked {
 		return false
 	}
 	if r.reap == 0 || s.out[i].idle < r.reap || r.now-r.reapedAt > regain {
@@ -619,8 +619,8 @@
 		func(s *server) bool { return s.polling && s.polledAt == q.askedAt })
 }
 
-// inTurn orders by outstanding requests, ties by idle connections, as a new one costs the server work, then in
-// turn. While connections are refused, open ones go first: that keeps a small router on its few servers.
+// inTurn orders by outstanding requests, ties by idle connections, as a new one costs the server work, then
+// in turn. While connections are refused, open ones go first: that keeps a small router on its few servers.
 func (r *Router) inTurn(a, b *server) int {
 	if r.now < r.scarce {
 		return cmp.Or(cmp.Compare(b.idleConns(), a.idleConns()), cmp.Compare(b.answered, a.answered))
@@ -629,9 +629,9 @@
 		cmp.Compare(r.atHand(b), r.atHand(a)), cmp.Compare(a.turn, b.turn))
 }
 
-// atHand is 1 for a server with an idle connection, and for a cold one, which its credit holds back.
+// atHand is 1 for a server with an idle connection, a cold one, which its credit holds, and with few routers.
 func (r *Router) atHand(s *server) int {
-	if r.warmth(s) < 1 {
+	if r.cfg.Routers <= pollCrowd || r.warmth(s) < 1 {
 		return 1
 	}
 	return s.idleConns()
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -550,7 +550,7 @@
 // connections are checked before each use, as on the platform, that is the server's queue, and the other connections stay.
 func TestSilenceOnCheckedConnectionsClosesNone(t *testing.T) {
 	g := trickle(t, true)
-	g.r.cfg.ChecksConns = true
+	g.r.ConnsAreChecked()
 	g.now += 3 * time.Second
 	g.ask(1, anyRead)
 	g.run(time.Second)
@@ -746,7 +746,9 @@
 // server, as every new connection costs that one work; and then with many at once, which must leave none out.
 func TestReadsOneAtATimeOpenFewConnections(t *testing.T) {
 	const servers = 40
-	g := newRig(t, baseConfig(), servers)
+	cfg := baseConfig()
+	cfg.Routers = 40
+	g := newRig(t, cfg, servers)
 	g.ready(servers)
 	used := map[ServerID]bool{}
 	read := func(id RequestID) {
