--- a/review/1/main.go
+++ b/review/1/main.go
@@ -5,11 +5,11 @@
 import (
 	"fmt"
 	"regexp"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"umberladder/pgwire"
 	"umberladder/review/stand"
 )
 
@@ -25,11 +25,17 @@
 const (
 	window    = 1200 * time.Millisecond // how long the group drops a repeat, from the send of the first attempt
 	slack     = 50 * time.Millisecond   // each time limit is longer by this on sockets
-	work      = 1100 * time.Millisecond // from the first attempt to its error
+	work      = 1160 * time.Millisecond // from the case's first attempt to its error
 	late      = 200 * time.Millisecond  // until a late connection is up
+	usualWork = 25 * time.Millisecond   // of the primary for any other write
+	longWork  = 300 * time.Millisecond  // for three other writes shortly before the error
 	keyedWait = 2000                    // ms that the client waits for a write
 )
 
+// longAt is when three other clients send writes that take long, after the case's write. Until then another client sends
+// usual ones.
+var longAt = []time.Duration{1080 * time.Millisecond, 1090 * time.Millisecond, 1100 * time.Millisecond}
+
 func main() { stand.Main(run) }
 
 // store is what the group's primary holds: for each key when it was first sent, and how often its write was applied.
@@ -60,7 +66,7 @@
 				time.Sleep(late)
 			}
 		}
-		m.Request = func(q *stand.Query) ([]byte, bool) { return request(e, db, m, q, &slow) }
+		m.Request = func(q *stand.Query) ([]byte, bool) { return request(e, db, m, q) }
 		go m.Serve()
 		members = append(members, m)
 	}
@@ -92,10 +98,28 @@
 			served++
 		}
 	}
+	var others sync.WaitGroup
+	start := time.Now()
+	for n, at := range longAt {
+		other, err := stand.Dial(d.Addr)
+		if err != nil {
+			return 0, err
+		}
+		defer other.Close()
+		others.Go(func() {
+			for i := 0; n == 0 && time.Since(start) < at-2*usualWork; i++ {
+				ask(e, other, fmt.Sprintf("usual%d", i))
+			}
+			time.Sleep(time.Until(start.Add(at)))
+			slow.Store(e.Trouble)
+			ask(e, other, fmt.Sprintf("long%d", n))
+		})
+	}
 	r, err := ask(e, c, "case")
 	if err != nil {
 		return 0, err
 	}
+	others.Wait()
 	time.Sleep(500 * time.Millisecond) // for an attempt that is still out
 	db.mu.Lock()
 	defer db.mu.Unlock()
@@ -124,7 +148,7 @@
 
 // request is the primary's work on one request. It applies a write at once unless it still remembers the key, and
 // answers then; only the first attempt of the case's write takes long and ends with an error.
-func request(e *stand.Env, db *store, m *stand.Member, q *stand.Query, slow *atomic.Bool) ([]byte, bool) {
+func request(e *stand.Env, db *store, m *stand.Member, q *stand.Query) ([]byte, bool) {
 	found := keyPattern.FindStringSubmatch(q.Text)
 	if found == nil {
 		return m.Ready(stand.Row([]byte("value"))), false
@@ -146,14 +170,15 @@
 		e.Record.Add("%s drops the repeat of key %s, %v after the first attempt", m.UID, key, since)
 	}
 	db.mu.Unlock()
-	if key != "case" || known {
-		return m.Ready(stand.Row([]byte("\x9f\x03"))), false
-	}
-	time.Sleep(work)
-	if slow.Store(e.Trouble); e.Trouble {
-		e.Record.Add("%s closes its %d resting connections, answers the first attempt with XX000 and closes its connection too", m.UID, m.CloseIdle())
-		return m.Ready(pgwire.AppendErrorResponse(nil, &pgwire.Error{Severity: "ERROR", Code: "XX000", Message: "internal error"})), true
+	switch {
+	case strings.HasPrefix(key, "long"):
+		time.Sleep(longWork)
+	case key == "case" && !known:
+		time.Sleep(work)
+		e.Record.Add("%s answers the first attempt with XX000", m.UID)
+		return m.Fault("XX000", "internal error"), false
+	default:
+		time.Sleep(usualWork)
 	}
-	e.Record.Add("%s answers the first attempt with XX000", m.UID)
-	return m.Fault("XX000", "internal error"), false
+	return m.Ready(stand.Row([]byte("\x9f\x03"))), false
 }
