--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -341,7 +341,7 @@
 	cmd := exec.Command("/bin/sh", "-c", run)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = root, log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it must not outlive the case
-	cmd.Env = append(os.Environ(), "LB_CONFIG="+file, "LB_NAME=n0", "LB_LISTEN="+addr, "LB_DISCOVERY="+agent.Addr, "TMPDIR="+tmp, "UMBERLADDER_TRACE=1")
+	cmd.Env = append(os.Environ(), "LB_CONFIG="+file, "LB_NAME=n0", "LB_LISTEN="+addr, "LB_DISCOVERY="+agent.Addr, "TMPDIR="+tmp)
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
