Release a request when it is answered: timers can be stopped

Cause: the timer for the end of a request's time holds the attempt, the request and the statement's text, and could not be cancelled; so each text was kept until the deadline, uncounted by MaxBytes.

A test that follows requests by weak pointers found two more holders, each enough to fail it alone: the array of a member's queue kept attempts after their send, and a closed connection kept its last attempt until its idle timer.

Change: schedule.Timers.Set returns a timer that Stop cancels; a stopped one holds nothing and leaves the queue once such are more than half of it. The queue and closed connections let go of attempts. The explorer's hash passes over stopped timers.

--- a/driver/conns.go
+++ b/driver/conns.go
@@ -7,6 +7,7 @@
 
 	"umberladder/balance"
 	"umberladder/internal/pool"
+	"umberladder/internal/schedule"
 	"umberladder/position"
 	"umberladder/token"
 	"umberladder/topology"
@@ -86,6 +87,8 @@
 	sentAt    time.Duration // 0 while waiting
 	maybeRan  bool          // it ended without evidence that nothing ran
 	streaming bool          // rows of its answer were passed to the client
+
+	timeLimits schedule.Group
 }
 
 func (a *attempt) mayHaveRun() bool { return a.state == sent || a.maybeRan }
@@ -162,7 +165,7 @@
 	if action.WriteWithin > 0 {
 		a.writeBy = e.now + action.WriteWithin
 	}
-	e.timers.Set(deadline, func(time.Duration) { e.timeout(a) })
+	a.timeLimits.Set(&e.timers, deadline, func(time.Duration) { e.timeout(a) })
 	if c, ok := n.Take(); ok {
 		e.send(c, a)
 		return
@@ -176,13 +179,13 @@
 		e.endAttempt(a, balance.Event{Outcome: balance.OutcomeFull})
 		return
 	}
-	e.timers.Set(min(deadline, e.now+e.cfg.Router.DialTimeout), func(time.Duration) {
+	a.timeLimits.Set(&e.timers, min(deadline, e.now+e.cfg.Router.DialTimeout), func(time.Duration) {
 		if a.state == waiting {
 			e.endAttempt(a, balance.Event{Outcome: balance.OutcomeConnectFailed})
 		}
 	})
 	if a.writeBy > 0 {
-		e.timers.Set(a.writeBy, func(time.Duration) {
+		a.timeLimits.Set(&e.timers, a.writeBy, func(time.Duration) {
 			if a.state == waiting {
 				e.endAttempt(a, balance.Event{Outcome: balance.OutcomeUnsent})
 			}
@@ -332,6 +335,7 @@
 		n.RemoveBusy(c.state == dialing)
 	}
 	e.setConnState(c, dead)
+	c.attempt = nil
 	delete(e.conns, c.id)
 	if close {
 		e.cmds = append(e.cmds, Command{Kind: CommandClose, Conn: c.id})
@@ -408,6 +412,7 @@
 	q := a.request
 	a.maybeRan = a.maybeRan || !ev.Outcome.NeverRan()
 	e.setAttemptState(a, over)
+	a.timeLimits.Stop(&e.timers) // a timer holds the request
 	if q.inFlight--; q.inFlight == 0 && !q.done {
 		q.slice.waiting++
 	}
--- a/driver/engine_test.go
+++ b/driver/engine_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
+	"weak"
 
 	"umberladder/balance"
 	"umberladder/position"
@@ -109,6 +111,38 @@
 	}
 }
 
+// TestAnsweredRequestIsReleased: once a request is answered, no timer, queue or connection holds it any longer. Its
+// deadline may be far.
+func TestAnsweredRequestIsReleased(t *testing.T) {
+	for name, unusable := range map[string]bool{"served": false, "failed": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newHarness(t, longDeadlines(), fleetFacts())
+			var ids []RequestID
+			var held []weak.Pointer[request]
+			for range 6 {
+				id := r.request(classWrite, token.Token{})
+				ids, held = append(ids, id), append(held, weak.Make(r.e.requests[id]))
+			}
+			for _, id := range ids {
+				for r.run(20 * ms); len(r.answers[id]) == 0; r.run(20 * ms) {
+					if c := r.sent(id); unusable {
+						r.result(c, broken(true, "XX000"))
+					} else {
+						r.reply(c)
+					}
+				}
+			}
+			runtime.GC()
+			for i, p := range held {
+				if p.Value() != nil {
+					t.Errorf("request %d is still held after its answer", ids[i])
+				}
+			}
+			runtime.KeepAlive(r)
+		})
+	}
+}
+
 // TestWriteThatNeverRanIsResent: with evidence that nothing ran, even an unsafe write is resent.
 func TestWriteThatNeverRanIsResent(t *testing.T) {
 	for _, res := range []Result{broken(false, "57P01"), {End: EndNotSent}} {
--- a/explore/hash.go
+++ b/explore/hash.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"umberladder/internal/schedule"
 )
 
 // hasher folds the whole state of an engine, private fields included, into a number. States that behave the same get the
@@ -27,13 +29,17 @@
 
 // ignoredFields are the names of the struct fields that the hash excludes: see hasher.
 var ignoredFields = map[string]bool{"rng": true, "cmds": true, "events": true, "actions": true, "cfg": true, "due": true, "sweeping": true, "heap": true, "place": true, "seq": true, "token": true,
-	"history": true, "records": true, "router.cfg": true, "reportedAfter": true, "passedByAll": true, "polls": false, "timer": true, "life": true, "sweepSlot": true, "sweeps": true, "all": true}
+	"history": true, "records": true, "router.cfg": true, "reportedAfter": true, "passedByAll": true, "polls": false, "timer": true, "life": true, "sweepSlot": true, "sweeps": true, "all": true,
+	"timeLimits": true, "stoppedTimers": true}
 
 // minTimestamp separates durations from times of the engine's clock, which starts at startTime: a time.Duration above it is
 // a time.
 const minTimestamp = 500 * time.Hour
 
-var durationType = reflect.TypeFor[time.Duration]()
+var (
+	durationType = reflect.TypeFor[time.Duration]()
+	timerType    = reflect.TypeFor[*schedule.Timer]()
+)
 
 // hashState returns the hash of a state with its times relative to now.
 func hashState(state any, now time.Duration) uint64 {
@@ -120,6 +126,9 @@
 func (h *hasher) writeTimes(heap reflect.Value) {
 	var all []int64
 	for i := range heap.Len() {
+		if isStopped(heap.Index(i).FieldByName("value")) {
+			continue
+		}
 		if at := heap.Index(i).FieldByName("at").Int() - int64(h.now); at >= 0 {
 			all = append(all, at)
 		}
@@ -130,6 +139,11 @@
 	}
 }
 
+// isStopped reports whether an item of a queue is a schedule.Timer that was stopped.
+func isStopped(item reflect.Value) bool {
+	return item.Type() == timerType && item.Elem().FieldByName("due").IsNil()
+}
+
 // writeMap hashes the entries of a map in the order of their keys.
 func (h *hasher) writeMap(v reflect.Value) {
 	h.writeNumber(uint64(v.Len()))
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -2,7 +2,10 @@
 // only to grow, unlike container/heap, which boxes each item twice.
 package schedule
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Queue is a priority queue of items by time. The zero Queue is empty. It is not safe for concurrent use.
 type Queue[T any] struct {
@@ -46,15 +49,32 @@
 	q.heap[0] = q.heap[last]
 	q.heap[last] = item[T]{}
 	q.heap = q.heap[:last]
-	for i := 0; ; {
+	q.siftDown(0)
+	return first.at, first.value
+}
+
+// DeleteFunc removes the items for which del returns true. The order of the others stays.
+func (q *Queue[T]) DeleteFunc(del func(T) bool) {
+	q.heap = slices.DeleteFunc(q.heap, func(x item[T]) bool { return del(x.value) })
+	for i := len(q.heap)/2 - 1; i >= 0; i-- {
+		q.siftDown(i)
+	}
+}
+
+// first returns the first item. It panics if the queue is empty.
+func (q *Queue[T]) first() T { return q.heap[0].value }
+
+// siftDown moves the item at an index down to its place in the heap, if items below it come before it.
+func (q *Queue[T]) siftDown(i int) {
+	for {
 		least := i
-		for c := 2*i + 1; c <= 2*i+2 && c < last; c++ {
+		for c := 2*i + 1; c <= 2*i+2 && c < len(q.heap); c++ {
 			if q.heap[c].before(&q.heap[least]) {
 				least = c
 			}
 		}
 		if least == i {
-			return first.at, first.value
+			return
 		}
 		q.heap[i], q.heap[least] = q.heap[least], q.heap[i]
 		i = least
