Count a drain's grace from the first notice that a node leaves

Cause: a node can be told to leave twice, by its removal from the list and by a drain.

The engine of serve counted rightly.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -287,12 +287,13 @@
 }
 
 // applyEntry adds or updates a listed server. A server with a newer start than known is cold again; one that
-// was removed after a drain returns only with a newer start.
+// was removed after a drain returns only with a newer start. One that is first listed as draining has no drain grace.
 func (r *Router) applyEntry(e *Entry) {
 	s := r.servers[e.Server]
 	if s != nil && s.drained && e.Started > s.started {
 		s = nil
 	}
+	isNew := s == nil
 	switch {
 	case e.Life == LifeRemoved || s != nil && s.drained:
 		r.removeServer(s)
@@ -315,6 +316,9 @@
 	// An outdated list may be delivered again: a drain stays in force until the process restarts.
 	if e.Life != s.life && (s.life != LifeDraining || e.Started > s.started) {
 		s.life, s.lifeSince = e.Life, r.now
+		if isNew { // its grace may have begun with an earlier removal, and no attempt is pending there
+			s.lifeSince -= r.cfg.DrainGrace
+		}
 	}
 	s.zone, s.started = e.Zone, max(s.started, e.Started)
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -693,6 +693,29 @@
 	g.wantAttempts(3, 2)
 }
 
+// TestARemovedPrimaryListedAsDrainingHasNoGrace removes the primary from the list and lists it again as draining: its
+// drain grace began with the removal, so it must get no write, though polls name it primary.
+func TestARemovedPrimaryListedAsDrainingHasNoGrace(t *testing.T) {
+	g := newHarness(t, baseConfig(), 2)
+	g.ready(2)
+	g.report(1, true, 5*ms)
+	g.request(1, write)
+	g.wantAttempts(1, 1)
+	g.step(Event{Kind: EventList, Entries: []Entry{{Server: 1, Life: LifeRemoved}}})
+	g.run(g.r.cfg.DrainGrace)
+	g.step(Event{Kind: EventList, Entries: []Entry{{Server: 1, Life: LifeDraining}}})
+	g.run(50 * ms)
+	g.report(1, true, 5*ms)
+	g.request(2, write)
+	g.run(100 * ms)
+	g.wantAttempts(2)
+	g.step(Event{Kind: EventList, Entries: []Entry{{Server: 1, Life: LifeReady, Started: g.now}}})
+	g.run(g.r.cfg.RampTime + time.Second)
+	g.report(1, true, 5*ms)
+	g.request(3, write)
+	g.wantAttempts(3, 1)
+}
+
 func TestSoftRemovalKeepsServersMissingFromTheList(t *testing.T) {
 	cfg := baseConfig()
 	cfg.SoftRemoval = true
