lab soak: give each driver a loopback address of its own

Cause: a port is picked by listening and closing again, and two soaks picked the same one.

Change: the port is picked on a random address of 127.0.0.0/8, which no other process or outgoing connection uses.

--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -42,9 +43,15 @@
 	files  int   // descriptors
 }
 
+// randomLoopback returns a random address of the loopback network. A port that is free there stays free until the driver
+// listens on it, as other processes and outgoing connections use other addresses.
+func randomLoopback() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+}
+
 // newProcess writes the configuration of a driver to dir and picks its address. It does not start the driver.
 func newProcess(program, dir string, config catalog.DriverConfig) (*driverProcess, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(randomLoopback(), "0"))
 	if err != nil {
 		return nil, err
 	}
