--- a/driver/engine_test.go
+++ b/driver/engine_test.go
@@ -513,6 +513,27 @@
 	}
 }
 
+// TestIncompleteSnapshotOfSessions: a session that is known only from an incomplete snapshot may have written since then.
+// Its read must see the latest position, until it has read or written in this run.
+func TestIncompleteSnapshotOfSessions(t *testing.T) {
+	cfg := testConfig()
+	cfg.DriverSessions, cfg.SessionBytes, cfg.SessionsComplete = true, 1<<20, false
+	cfg.Router.LagPolicy, cfg.Router.Probing = balance.LagReject, false // replicas are tried without proof that they are new enough
+	cfg.Sessions = &SessionState{Sessions: []SessionPosition{{Slice: "news", Session: "s", At: at(1, 1000)}}}
+	r := newHarness(t, cfg, map[string]Facts{"p": primary(at(1, 1200)), "r1": replica(at(1, 1100)), "r2": replica(at(1, 1100))})
+	id := r.request(classOwn, token.Token{})
+	for r.run(100 * ms); r.isSent(id); r.run(100 * ms) {
+		r.reply(r.sent(id))
+	}
+	if a := r.answer(id); a.Status == Served && a.Node != "p" {
+		t.Errorf("served by %s, which has what the snapshot tells, but may lack later writes of the session", a.Node)
+	}
+	r.e.sessions.observe("news", "s", at(1, 1200), r.now)
+	if need := r.e.sessions.required("news", "s"); !need.Covers(at(1, 1200)) || need.LSN == position.UnknownLSN {
+		t.Errorf("after a write at 1:1200 the session requires %v", need)
+	}
+}
+
 // TestWithoutToken: a read without a token is treated by its class's policy, and one whose token was lost in
 // transit at least as strictly as by requiring the latest position.
 func TestWithoutToken(t *testing.T) {
--- a/driver/sessions.go
+++ b/driver/sessions.go
@@ -19,8 +19,8 @@
 	bytes    int
 	maxBytes int // limit, in bytes
 	floor    map[string]position.Position
-	// floorUnknown is set after a restart without complete state: an untracked session may have written through
-	// the earlier run, so it requires the latest position until the primary has reported one.
+	// floorUnknown is set after a restart without complete state: a session that this run has not observed may have
+	// written since that state, so it requires the latest position until the primary has reported one.
 	floorUnknown bool
 	restoredAt   time.Duration
 	// reportedAfter returns a position that the slice's primary reported after a time, false if there is none.
@@ -34,6 +34,7 @@
 type trackedSession struct {
 	at       position.Position
 	lastUsed time.Duration // last read or write
+	observed bool          // by this run; otherwise it was only restored
 }
 
 func (k sessionKey) cost() int { return len(k.slice) + len(k.session) + sessionCost }
@@ -54,7 +55,7 @@
 	if !tracked {
 		s.bytes += key.cost()
 	}
-	s.tracked.Add(key, trackedSession{known.at.Join(at), now})
+	s.tracked.Add(key, trackedSession{at: known.at.Join(at), lastUsed: now, observed: true})
 	for s.bytes > s.maxBytes && s.tracked.Len() > 0 {
 		s.evict()
 	}
@@ -75,18 +76,16 @@
 
 // required returns the position that a read of the session must see, the zero Position for none.
 func (s *sessions) required(slice, session string) position.Position {
-	if known, ok := s.tracked.Get(sessionKey{slice, session}); ok {
-		return known.at.Join(s.floor[slice])
+	known, _ := s.tracked.Get(sessionKey{slice, session})
+	need := known.at.Join(s.floor[slice])
+	if known.observed || !s.floorUnknown {
+		return need
 	}
-	floor := s.floor[slice]
-	if s.floorUnknown {
-		at, ok := s.reportedAfter(slice, s.restoredAt)
-		if !ok {
-			return position.Present
-		}
-		return floor.Join(at)
+	at, ok := s.reportedAfter(slice, s.restoredAt)
+	if !ok {
+		at = position.Present
 	}
-	return floor
+	return need.Join(at)
 }
 
 // SessionState is the tracked sessions, to be kept for the next run of the driver.
@@ -113,8 +112,8 @@
 	return st
 }
 
-// restore loads the sessions of an earlier run. Without complete state the floors are unknown: otherwise an
-// untracked session might not see its own writes.
+// restore loads the sessions of an earlier run. Without complete state the floors are unknown: otherwise a session
+// might not see what it wrote since.
 func (s *sessions) restore(st *SessionState, complete bool, now time.Duration) {
 	s.floorUnknown, s.restoredAt = !complete, now
 	if st == nil {
@@ -125,5 +124,14 @@
 	}
 	for _, p := range st.Sessions {
 		s.observe(p.Slice, p.Session, p.At, now)
+		s.markRestored(sessionKey{p.Slice, p.Session})
+	}
+}
+
+// markRestored marks a session as not observed by this run.
+func (s *sessions) markRestored(key sessionKey) {
+	if known, ok := s.tracked.Get(key); ok { // it may have been evicted at once
+		known.observed = false
+		s.tracked.Add(key, known)
 	}
 }
