propagation: take the retry budget before the delay

What callers saw: a refused call for which there was no budget waited for the advised delay, up to a second or more, and then returned the refusal all the same.

Cause: Retrier.UnaryClient slept before takeBudget.

Change: the budget is taken first, and given back if the context ends during the delay.

Tests: TestNoDelayWithoutBudget failed before ("it waits though there is no budget for another attempt"). TestBudgetOfAnAttemptNotMade guards the giving back.

Measured: tests of propagation pass.

--- a/propagation/propagation_test.go
+++ b/propagation/propagation_test.go
@@ -319,3 +319,48 @@
 		t.Errorf("%d first and %d further attempts", first, further)
 	}
 }
+
+// refusedWithDelay is the error of a refused call whose driver advises a delay.
+func refusedWithDelay(t *testing.T, delay time.Duration) error {
+	st, err := status.New(codes.Unavailable, "no").WithDetails(&errdetails.ErrorInfo{Domain: "umberladder", Reason: "REFUSED"},
+		&errdetails.RetryInfo{RetryDelay: durationpb.New(delay)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return st.Err()
+}
+
+// TestNoDelayWithoutBudget: a refused call for which there is no budget returns at once. It used to wait for the delay
+// first.
+func TestNoDelayWithoutBudget(t *testing.T) {
+	r := &Retrier{MaxRetries: 1}
+	refused := refusedWithDelay(t, time.Hour)
+	done := make(chan error, 1)
+	go func() {
+		done <- r.UnaryClient()(t.Context(), "m", nil, nil, nil, func(context.Context, string, any, any, *grpc.ClientConn, ...grpc.CallOption) error {
+			return refused
+		})
+	}()
+	select {
+	case err := <-done:
+		if err != refused {
+			t.Errorf("returned %v", err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("it waits though there is no budget for another attempt")
+	}
+}
+
+// TestBudgetOfAnAttemptNotMade: a call whose context ends during the delay uses no budget.
+func TestBudgetOfAnAttemptNotMade(t *testing.T) {
+	r := &Retrier{MaxRetries: 1, BudgetBurst: 1}
+	ctx, cancel := context.WithCancel(t.Context())
+	refused := refusedWithDelay(t, time.Hour)
+	r.UnaryClient()(ctx, "m", nil, nil, nil, func(context.Context, string, any, any, *grpc.ClientConn, ...grpc.CallOption) error {
+		cancel()
+		return refused
+	})
+	if _, further := r.Counts(); further != 0 || !r.takeBudget() {
+		t.Errorf("%d further attempts are counted, and the budget is spent", further)
+	}
+}
--- a/propagation/retry.go
+++ b/propagation/retry.go
@@ -70,9 +70,17 @@
 	return true
 }
 
+// returnBudget undoes takeBudget for an attempt that was not made.
+func (r *Retrier) returnBudget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget++
+	r.furtherAttempts--
+}
+
 // UnaryClient returns an interceptor that makes further attempts of unary calls and returns the error of the last
 // attempt. It blocks during the delays between attempts. It does not start a delay that would exceed the context's
-// deadline.
+// deadline, nor one before an attempt for which there is no budget.
 func (r *Retrier) UnaryClient() grpc.UnaryClientInterceptor {
 	return func(ctx context.Context, method string, req, reply any, cc *grpc.ClientConn, invoke grpc.UnaryInvoker, opts ...grpc.CallOption) error {
 		r.countFirst()
@@ -80,7 +88,11 @@
 			var trailer metadata.MD
 			err := invoke(r.withAttempt(ctx, n), method, req, reply, cc, append(opts, grpc.Trailer(&trailer))...)
 			delay, ok := r.delay(err, trailer, n)
-			if !ok || n >= r.MaxRetries || !sleep(ctx, delay) || !r.takeBudget() {
+			if !ok || n >= r.MaxRetries || !r.takeBudget() {
+				return err
+			}
+			if !sleep(ctx, delay) {
+				r.returnBudget()
 				return err
 			}
 		}
