propagation: follow the delay that a driver sends in grpc-retry-pushback-ms

What callers saw: a positive pushback, which gRPC defines as the delay before the next attempt, was taken for no advice, so that the call came again after the error's own delay.

Cause: Retrier.delay read the value only for a prohibition.

Change: a value of 0 or more is the delay. The driver itself sends -1 alone; others on the way may send more.

Test: TestPushbackIsTheDelay failed before ("delay 1ms, true; want 250ms").

Measured: tests of propagation pass.

--- a/propagation/propagation_test.go
+++ b/propagation/propagation_test.go
@@ -364,3 +364,12 @@
 		t.Errorf("%d further attempts are counted, and the budget is spent", further)
 	}
 }
+
+// TestPushbackIsTheDelay: the delay in the trailers replaces that of the error.
+func TestPushbackIsTheDelay(t *testing.T) {
+	r := &Retrier{MaxRetries: 1, BudgetBurst: 1}
+	delay, ok := r.delay(refusedWithDelay(t, time.Millisecond), metadata.Pairs(PushbackKey, "250"), 0)
+	if want := 250 * time.Millisecond; !ok || delay != want {
+		t.Errorf("delay %v, %v; want %v", delay, ok, want)
+	}
+}
--- a/propagation/retry.go
+++ b/propagation/retry.go
@@ -137,9 +137,11 @@
 		}
 	}
 	for _, v := range trailer.Get(PushbackKey) {
-		if ms, e := strconv.Atoi(v); e != nil || ms < 0 {
+		ms, e := strconv.Atoi(v)
+		if e != nil || ms < 0 {
 			return 0, false // the driver forbids further attempts
 		}
+		advice = time.Duration(ms) * time.Millisecond
 	}
 	if advice > 0 {
 		return advice, refused
