--- a/balance/api.go
+++ b/balance/api.go
@@ -130,6 +130,10 @@
 	OutcomeMiss                         // refused by a server that lags too far behind or is not the primary
 )
 
+var outcomeNames = [...]string{"error", "ok", "full", "timeout", "connect-failed", "reset", "cancelled", "unsent", "miss"}
+
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // NeverRan reports whether the outcome is evidence that nothing ran, so that sending the request again is harmless.
 func (o Outcome) NeverRan() bool {
 	return o == OutcomeFull || o == OutcomeConnectFailed || o == OutcomeUnsent || o == OutcomeMiss
