platform: bound the memory of clients' long messages until they are answered

Cause: a message that is not complete was in no limit. Each session grew its read buffer to the message's length, 128 KiB, for up to 2 s; 552 clients are 70 MB. Whole ones waited in the inbox before the core's limit saw them, and a read buffer was kept while its session waited for answers. The class: memory that a peer makes the driver hold before anything counts it.

Two subtests are new: answers that are not read (held before), and floods use small send buffers, as megabytes of each flooding client took the test machine's own time.

--- a/lab/soak/bad_clients_test.go
+++ b/lab/soak/bad_clients_test.go
@@ -12,11 +12,13 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	osprocess "umberladder/lab/process"
 	"umberladder/pgwire"
+	"umberladder/platform/statement"
 	"umberladder/standin/catalog"
 )
 
@@ -45,6 +47,7 @@
 		{"all but the last byte", 540, partial(write, len(write)-1, len(write))},
 		{"written slowly", 540, partial(write, len(write)-1, 4096)},
 		{"more clients than descriptors", 1500, partial(write, len(write)-1, len(write))},
+		{"answers that are not read", 540, neverReads()},
 		{"startup of short fields", 540, repeated(startup)},
 		{"half a startup of short fields", 540, partialStartup(startup)},
 		{"one kind after another", 540, inTurn(partial(write, len(write)-1, len(write)), repeated(startup),
@@ -146,7 +149,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(m.Close)
-		m.SetScript(serviceTime(m, uint64(i)))
+		m.SetScript(longValues(m, serviceTime(m, uint64(i))))
 		all = append(all, m)
 	}
 	a, err := catalog.NewAgent(all...)
@@ -169,6 +172,21 @@
 	return p
 }
 
+// longValuePrefix begins the ids of requests whose values are of the maximum length.
+const longValuePrefix = "long"
+
+// longValues returns a script that answers requests for long values with them, and others as the given script does.
+func longValues(m *catalog.Member, others catalog.Script) catalog.Script {
+	answer := m.AppendReady(catalog.Row(strings.Repeat("v", statement.MaxValue)))
+	return func(n int, id string, c net.Conn) bool {
+		if !strings.HasPrefix(id, longValuePrefix) {
+			return others(n, id, c)
+		}
+		c.Write(answer)
+		return true
+	}
+}
+
 // ordinaryAnswers counts the requests of ordinary clients by their answers. Refused ones count as neither.
 type ordinaryAnswers struct{ served, lost atomic.Int64 }
 
@@ -288,6 +306,7 @@
 	return func(ctx context.Context, address string) {
 		n := 0
 		eachConnection(ctx, address, func(nc net.Conn, _ <-chan struct{}) {
+			nc.(*net.TCPConn).SetWriteBuffer(batchBytes) // megabytes for each client would take this machine's time
 			nc.Write(catalog.AppendStartup(nil))
 			for {
 				var batch []byte
@@ -302,6 +321,36 @@
 	}
 }
 
+// neverReads asks for long values in one go, and reads nothing of them.
+func neverReads() badClient {
+	const pipelined = 40
+	next := newID(func(id string) string { return catalog.ReadQuery(longValuePrefix+id, "own", clientWait) })
+	return func(ctx context.Context, address string) {
+		for ctx.Err() == nil {
+			nc, err := (&net.Dialer{Control: smallReceiveBuffer}).DialContext(ctx, "tcp", address)
+			if err != nil {
+				time.Sleep(time.Millisecond)
+				continue
+			}
+			batch := catalog.AppendStartup(nil)
+			for n := range pipelined {
+				batch = pgwire.AppendQuery(batch, next(n))
+			}
+			nc.Write(batch)
+			select {
+			case <-ctx.Done():
+			case <-time.After(troubleTime / 2):
+			}
+			nc.Close()
+		}
+	}
+}
+
+// smallReceiveBuffer makes the system accept little of what a client does not read.
+func smallReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+}
+
 // inTurn gives each kind of bad client an equal part of the time.
 func inTurn(kinds ...badClient) badClient {
 	return func(ctx context.Context, address string) {
--- a/pgwire/reader.go
+++ b/pgwire/reader.go
@@ -149,6 +149,40 @@
 	return r.w-r.r >= 5 && uint64(r.w-r.r) >= 1+uint64(binary.BigEndian.Uint32(r.buf[r.r+1:]))
 }
 
+// Discard skips the next n bytes, such as the body of a message for which Next returned the error of the function for
+// long messages. It blocks until they have arrived, and needs no more memory than a buffer.
+func (r *Reader) Discard(n int) error {
+	for n = r.DiscardBuffered(n); n > 0; n = r.DiscardBuffered(n) {
+		if err := r.fill(1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// DiscardBuffered skips the next n bytes as far as they are buffered, gives up their memory as Shrink does, and returns
+// how many of them are still to be skipped. It does not block.
+func (r *Reader) DiscardBuffered(n int) (left int) {
+	skipped := min(n, r.w-r.r)
+	r.r += skipped
+	r.Shrink()
+	return n - skipped
+}
+
+// Shrink gives up the memory of a long message that was read, if what is buffered behind it fits into less. The body
+// of the last message is no longer valid.
+func (r *Reader) Shrink() {
+	switch left := r.w - r.r; {
+	case r.pooled != nil && left == 0 && r.buf != nil:
+		r.buffers.Put(r.buf)
+		r.buf, r.r, r.w = nil, 0, 0
+	case len(r.buf) > bufferSize && left <= bufferSize:
+		short := make([]byte, bufferSize)
+		copy(short, r.buf[r.r:r.w])
+		r.buf, r.r, r.w = short, 0, left
+	}
+}
+
 // take returns the next n bytes. It grows the buffer only as bytes arrive, so that a peer cannot cause an allocation by
 // sending a length alone.
 func (r *Reader) take(n int) ([]byte, error) {
