platform: a client's wait counts from the arrival of its message, not from its reading

What callers saw: nothing was reported; found while looking for what a pause in reading does.

Cause: a request's time began when its message was handled. After an invalid statement the driver reads on only after a pause of up to 0.5 s, and a message that arrived meanwhile was taken as new.

What is read after a pause, without waiting for it, counts from then, so that the estimate is never later than the arrival.

--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -20,13 +20,19 @@
 	net.Conn
 	raw      syscall.RawConn // nil if the connection has no file descriptor
 	readLock sync.Locker
-	onRead   func()
+	onRead   func(Read)
+}
+
+// Read describes a read that returned bytes.
+type Read struct {
+	Waited  bool // it had to wait for them
+	Drained bool // it left none in the socket
 }
 
 // OnRead sets a function that is called when a read into a shared buffer returns bytes, with lock held from before
 // that read until after the call. Thus a holder of lock knows of all bytes that are no longer in the socket's buffer.
 // OnRead must not be called during a read.
-func (s *Socket) OnRead(lock sync.Locker, read func()) { s.readLock, s.onRead = lock, read }
+func (s *Socket) OnRead(lock sync.Locker, read func(Read)) { s.readLock, s.onRead = lock, read }
 
 // New returns a Socket for nc. If nc has no file descriptor, TryWrite writes nothing, WouldBlock is always true, and
 // HasInput and HungUp are always false.
@@ -165,6 +171,7 @@
 		n, err = s.Read(buf)
 		return buf, n, err
 	}
+	waited := false
 	if e := s.raw.Read(func(fd uintptr) bool {
 		buf = shared.Get()
 		if s.readLock != nil {
@@ -176,12 +183,13 @@
 		}
 		if n > 0 {
 			if s.onRead != nil {
-				s.onRead()
+				s.onRead(Read{Waited: waited, Drained: n < len(buf)})
 			}
 			return true
 		}
 		shared.Put(buf)
 		buf = nil
+		waited = true
 		return err != syscall.EAGAIN
 	}); e != nil {
 		err = e
