pgwire: a startup packet has at most 64 parameters

What callers saw: heads of very many short fields; other clients got late or refused answers.

Cause: a startup packet of 10,000 bytes holds 2,500 parameters, and each became two strings and an entry of a map that the platform front does not even use.

Evidence: TestMemoryWithUnfinishedMessages/startup_of_short_fields: 6 to 30 requests of ordinary clients served, 462 wanted.

Fix: parsing ends with an error at the 65th parameter; clients send a few.

--- a/pgwire/frontend.go
+++ b/pgwire/frontend.go
@@ -114,6 +114,10 @@
 	TLS    bool              // request for TLS or GSSAPI encryption; the answer is one byte, 'N' to decline
 }
 
+// maxStartupParams is the maximum number of parameters in a startup packet. Clients send a few; thousands of short ones
+// fit into a packet, and each takes memory and time.
+const maxStartupParams = 64
+
 // Cancel identifies the session whose running statement is to be canceled, by the process id and the secret key of its
 // BackendKeyData.
 type Cancel struct{ PID, Key uint32 }
@@ -139,6 +143,10 @@
 		if name == "" {
 			break
 		}
+		if len(params) == maxStartupParams {
+			c.fail("more than %d parameters", maxStartupParams)
+			break
+		}
 		params[name] = c.str("a parameter's value")
 	}
 	return Startup{Params: params}, c.end()
