balance: bound the number of sessions whose last commit is kept

Cause: the last commit of each session that wrote is kept for 60 s to 120 s, however many there are. A client that sends small writes, each under a new key, adds one for each: 3,000 a second are 180,000 to 360,000 entries, some 10 to 20 MB of 32.

Fix: above 32,768 sessions the half that wrote longest ago is forgotten, in the way in which old ones are: the floor that reads of unknown sessions need rises to the newest commit that is forgotten, so that no read gets data older than its session's write. Where 32,768 sessions write within seconds, such reads need data as new as some seconds ago.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -46,6 +47,7 @@
 
 	observationTTL   = 5 * time.Second  // for how long observations of connections and time-outs count
 	sessionRetention = 60 * time.Second // for how long a session's last commit is kept
+	maxSessions      = 32768            // sessions whose last commit is kept
 )
 
 // Router makes the decisions of one driver. It is not safe for concurrent use.
@@ -887,7 +889,7 @@
 			if e.Outcome == OutcomeOK && e.Position > 0 {
 				commit = r.cfg.Origin + e.Position
 			}
-			r.sessions[q.key] = max(r.sessions[q.key], commit)
+			r.recordCommit(q.key, commit)
 		}
 	}
 	if e.Settled || q.done {
@@ -1024,18 +1026,33 @@
 	}
 }
 
+// recordCommit records a commit of a session. If there are too many sessions, it forgets the half that wrote longest ago.
+func (r *Router) recordCommit(key uint64, commit time.Duration) {
+	r.sessions[key] = max(r.sessions[key], commit)
+	if len(r.sessions) > maxSessions {
+		commits := slices.Sorted(maps.Values(r.sessions))
+		r.forgetCommits(commits[len(commits)/2] + 1)
+	}
+}
+
+// forgetCommits forgets the sessions whose last commit is before a time. Reads of sessions that are not known then need
+// data as new as the newest of these commits.
+func (r *Router) forgetCommits(before time.Duration) {
+	for key, commit := range r.sessions {
+		if commit < before {
+			r.sessionFloor = max(r.sessionFloor, commit)
+			delete(r.sessions, key)
+		}
+	}
+}
+
 // sweep checks the waiting requests of the groups that may have changed: it ends those whose time is up,
 // dispatches held ones by value, and hedges those whose server is silent.
 func (r *Router) sweep() {
 	r.lastSweep, r.sweepNeeded = r.now, false
 	if r.now-r.lastPrune > sessionRetention {
 		r.lastPrune = r.now
-		for key, commit := range r.sessions {
-			if commit < r.now-sessionRetention {
-				r.sessionFloor = max(r.sessionFloor, commit)
-				delete(r.sessions, key)
-			}
-		}
+		r.forgetCommits(r.now - sessionRetention)
 	}
 	held, all := r.held[:0], r.all[:0]
 	groups, before := r.sweeps.popDue(r.now, r.sweeping[:0]), len(r.actions)
