--- a/internal/pending/pending.go
+++ b/internal/pending/pending.go
@@ -32,6 +32,13 @@
 	return t.last, true
 }
 
+// Len returns the number of open requests.
+func (t *Table[T]) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.waiters)
+}
+
 // Get returns the waiter of a request; the zero T if there is none.
 func (t *Table[T]) Get(id balance.RequestID) T {
 	t.mu.Lock()
