server: end calls that stop within their request, and fix gRPC's windows and buffers

Cause: gRPC waits without a limit for the rest of a request, and holds what has come of it; its windows grow with the sender's rate, up to megabytes for each stream, and each connection had buffers of 64 KiB and two minutes for its first frame. Limits on calls count them once their request is whole.

Evidence: TestCallsThatStopWithinTheirRequestAreEnded: of 1,200 calls that stop 1 KB into a request of 1 MiB, none was ended after 8 s.

Fix: a call is incomplete from its headers to the end of its request (server/incoming.go, by gRPC's tap and interceptors). It has 5 s; there are as many at once as fit in an eighth of the memory at 256 KiB each, 16 to 1,024; beyond, and while memory is short, the oldest ones from 20 ms on are ended with CANCELLED, which is before anything of them ran, so that others get in. Windows are fixed: 64 KiB for each call, 1 MiB for each connection; a handler that reads a longer request is still sent all of it. A call whose client has gone before it is handed to the loop is not begun. Two metrics count incomplete calls.

Not bounded exactly: an incomplete call may hold up to 4 MiB, sixteen times what is planned for it, until it is ended.

Measured: the test passes, all calls are ended and 20 reads served beside them; go test ./server ./admission ./lab ./propagation ./causalcache ./cmd/umberladder passes. The rate through the driver was not measured again.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -382,6 +382,9 @@
 	}
 }
 
+// MemoryShort reports whether requests are refused because memory is short.
+func (g *Gate) MemoryShort() bool { return g.memoryLevel > 0 }
+
 // retryAfter returns the time after which a refused client should retry. It grows with the number of refusals per
 // admitted request and is randomized, so that refused clients don't retry at the same moment.
 func (g *Gate) retryAfter(p *pool, now time.Duration) time.Duration {
--- a/server/memory.go
+++ b/server/memory.go
@@ -46,6 +46,16 @@
 	}
 }
 
+// memoryShort reports whether requests are refused because memory is short.
+func (f *frontEnd) memoryShort() bool {
+	if f.gate == nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gate.MemoryShort()
+}
+
 func sum(samples []rt.Sample) (n uint64) {
 	for _, s := range samples {
 		if s.Value.Kind() == rt.KindUint64 { // a later Go version may lack one of them
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -82,14 +82,18 @@
 type streamMetrics struct{ streams *streams }
 
 var (
-	streamsOpen    = prometheus.NewDesc("umberladder_streams_open", "Open calls and watches.", []string{"kind"}, nil)
-	streamsRefused = prometheus.NewDesc("umberladder_streams_refused_total", "Calls and watches refused because too many were open.", nil, nil)
+	streamsOpen          = prometheus.NewDesc("umberladder_streams_open", "Open calls and watches.", []string{"kind"}, nil)
+	callsIncomplete      = prometheus.NewDesc("umberladder_calls_incomplete", "Calls whose request has not arrived as a whole.", nil, nil)
+	callsIncompleteEnded = prometheus.NewDesc("umberladder_calls_incomplete_ended_total", "Calls ended because their request did not arrive in time, or to make room.", nil, nil)
+	streamsRefused       = prometheus.NewDesc("umberladder_streams_refused_total", "Calls and watches refused because too many were open.", nil, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (s streamMetrics) Describe(out chan<- *prometheus.Desc) {
 	out <- streamsOpen
 	out <- streamsRefused
+	out <- callsIncomplete
+	out <- callsIncompleteEnded
 }
 
 // Collect implements prometheus.Collector.
@@ -98,6 +102,9 @@
 	out <- prometheus.MustNewConstMetric(streamsOpen, prometheus.GaugeValue, float64(s.streams.open.Load()-watches), "call")
 	out <- prometheus.MustNewConstMetric(streamsOpen, prometheus.GaugeValue, float64(watches), "watch")
 	out <- prometheus.MustNewConstMetric(streamsRefused, prometheus.CounterValue, float64(s.streams.refused.Load()))
+	incomplete, ended := s.streams.incoming.counts()
+	out <- prometheus.MustNewConstMetric(callsIncomplete, prometheus.GaugeValue, float64(incomplete))
+	out <- prometheus.MustNewConstMetric(callsIncompleteEnded, prometheus.CounterValue, float64(ended))
 }
 
 func (m *metrics) setGauges(held, conns int) {
--- a/server/server.go
+++ b/server/server.go
@@ -45,6 +45,15 @@
 // maxMetadataBytes is the maximum size of a call's metadata. Sets of tokens are the largest part of it.
 const maxMetadataBytes = 64 << 10
 
+// Limits on what gRPC holds for a connection. With fixed windows, what a client sends and no handler reads does not grow
+// with the client's rate; a handler that reads a longer message is sent all of it.
+const (
+	streamWindow      = 64 << 10        // bytes of a call that its handler has not read
+	connWindow        = 1 << 20         // bytes in flight of all calls of a connection
+	connBuffer        = 8 << 10         // buffers for reading and writing, in bytes
+	connectionTimeout = 5 * time.Second // for the first settings of a new connection
+)
+
 // Server is one driver process's gRPC server, engine and node connections. Make it with New and call Run once.
 type Server struct {
 	settings      *settings.Settings
@@ -173,6 +182,8 @@
 	s.metrics.registry.MustRegister(streamMetrics{s.streams})
 	s.grpc = grpc.NewServer(append(s.streams.options(),
 		grpc.MaxRecvMsgSize(maxRequestBytes), grpc.MaxHeaderListSize(maxMetadataBytes), grpc.MaxConcurrentStreams(uint32(s.settings.MaxStreams)),
+		grpc.StaticStreamWindowSize(streamWindow), grpc.StaticConnWindowSize(connWindow), grpc.ConnectionTimeout(connectionTimeout),
+		grpc.ReadBufferSize(connBuffer), grpc.WriteBufferSize(connBuffer), grpc.SharedWriteBuffer(true),
 		// gRPC's default buffer pool has no size between 32 KiB and 1 MiB.
 		experimental.BufferPool(mem.NewTieredBufferPool(1<<8, 1<<12, 1<<14, 1<<15, 1<<16, 1<<17, 1<<18, 1<<19, 1<<20)),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
@@ -235,6 +246,7 @@
 		return nil
 	})
 	tasks.Go(func() error { s.loop.frontEnd.watchMemory(runCtx, s.settings.Memory); return nil })
+	tasks.Go(func() error { s.streams.incoming.watch(runCtx, s.loop.frontEnd.memoryShort); return nil })
 	if s.follower != nil {
 		tasks.Go(func() error { return s.follower.run(runCtx, s.SetNodes) })
 	}
--- a/server/service.go
+++ b/server/service.go
@@ -125,6 +125,9 @@
 // await passes a call to the loop and waits for its final answer. It forwards the rows of a streamed answer as they
 // arrive. A returned error is the gRPC status.
 func (s *service) await(ctx context.Context, params driver.RequestParams, c *call, forward forwardFunc) (driver.Answer, error) {
+	if ctx.Err() != nil { // the client has gone while its request waited to be read
+		return driver.Answer{}, status.FromContextError(ctx.Err()).Err()
+	}
 	id, ok := s.loop.calls.Add(c)
 	if !ok {
 		a := driver.Answer{Status: driver.Refused, Cause: driver.CauseStopping}
--- a/server/streams.go
+++ b/server/streams.go
@@ -27,6 +27,7 @@
 	open       atomic.Int64
 	watches    atomic.Int64
 	refused    atomic.Int64
+	incoming   *incoming
 }
 
 // newStreams uses the limit of the settings or, if that is 0, as many streams as fit in three eighths of the memory limit.
@@ -35,7 +36,7 @@
 	if limit == 0 {
 		limit = int64(s.Memory) * 3 / 8 / streamBytes
 	}
-	return &streams{limit: limit, retryAfter: durationpb.New(s.MaxRetryAfter)}
+	return &streams{limit: limit, retryAfter: durationpb.New(s.MaxRetryAfter), incoming: newIncoming(s.Memory)}
 }
 
 func (s *streams) options() []grpc.ServerOption {
@@ -49,12 +50,20 @@
 }
 
 func (s *streams) tap(ctx context.Context, call *tap.Info) (context.Context, error) {
-	if s.limit == 0 || s.open.Load() < s.limit && (isCall(call.FullMethodName) || s.watches.Load() < s.limit/2) {
-		return ctx, nil
+	if s.limit > 0 && (s.open.Load() >= s.limit || !isCall(call.FullMethodName) && s.watches.Load() >= s.limit/2) {
+		return ctx, s.refuse("the limit of open calls and watches is reached (admission streams)")
 	}
+	ctx, ok := s.incoming.begin(ctx)
+	if !ok {
+		return ctx, s.refuse("too many calls have not sent their request yet")
+	}
+	return ctx, nil
+}
+
+// refuse returns the refusal of a call that has not begun.
+func (s *streams) refuse(why string) error {
 	s.refused.Add(1)
-	return ctx, detailed(codes.ResourceExhausted, "refused: the limit of open calls and watches is reached (admission streams)",
-		info(reasonRefused, nil), &errdetails.RetryInfo{RetryDelay: s.retryAfter})
+	return detailed(codes.ResourceExhausted, "refused: "+why, info(reasonRefused, nil), &errdetails.RetryInfo{RetryDelay: s.retryAfter})
 }
 
 func (s *streams) enter(method string) (leave func()) {
@@ -70,11 +79,12 @@
 }
 
 func (s *streams) unary(ctx context.Context, req any, info *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+	s.incoming.complete(ctx)
 	defer s.enter(info.FullMethod)()
 	return handler(ctx, req)
 }
 
 func (s *streams) stream(srv any, ss grpc.ServerStream, info *grpc.StreamServerInfo, handler grpc.StreamHandler) error {
 	defer s.enter(info.FullMethod)()
-	return handler(srv, ss)
+	return handler(srv, incomingStream{ss, s.incoming})
 }
