admission: bound the names of clients over all pools, and forget pools of unknown slices

Cause: each pool counts up to 4,096 clients in each of two spans, and keeps the last of them for as long as it has no arrivals; there may be 8,192 pools. A client that gives itself new names, on one slice after the other, adds some 0.4 MB for each slice. And pools of slices that don't exist were kept for good: once they had taken all, real slices that came later shared one.

Fix: 16,384 names for all pools together. When there is no room for a name or a pool, those without arrivals for two spans are forgotten, pools only if nothing was ever served from them, at most once in a span.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -40,6 +40,7 @@
 	maxBudget       = 200.0                 // maximum retry budget per class
 	maxPools        = 8192                  // number of pools from which on further slices share one
 	maxClients      = 4096                  // clients counted per pool within one rateSpan
+	maxNames        = 16384                 // clients counted in all pools within two of them
 )
 
 // Class describes a request class to the gate. Classes with a higher Value are admitted first and shed last; Target is
@@ -159,6 +160,8 @@
 	ranks       []float64 // by class, from 0 for the lowest value to 1 for the highest
 	limitShares []float64 // by class, the share of a pool's limit that it may use
 	pools       map[poolKey]*pool
+	names       int           // entries of the pools' recentClients
+	lastForget  time.Duration // when the pools were last searched for what may be forgotten
 	open        int
 	bytes       int
 	budget      []float64 // by class, the further attempts that may still be admitted
@@ -247,9 +250,12 @@
 	return float64(at) / float64(len(values)-1)
 }
 
-func (g *Gate) poolFor(a *Request) *pool {
+func (g *Gate) poolFor(now time.Duration, a *Request) *pool {
 	key := poolKey{a.Slice, g.cfg.Classes[a.Class].Primary}
 	p := g.pools[key]
+	if p == nil && len(g.pools) >= maxPools {
+		g.forgetUnused(now)
+	}
 	if p == nil && len(g.pools) >= maxPools {
 		key.slice = "" // unknown slice names share a pool, so that they cannot exhaust memory
 		p = g.pools[key]
@@ -267,8 +273,8 @@
 	if a.Class < 0 || a.Class >= len(g.cfg.Classes) {
 		return &Ticket{class: -1}, Decision{}
 	}
-	p := g.poolFor(&a)
-	p.noteArrival(now, a.Client)
+	p := g.poolFor(now, &a)
+	g.noteArrival(p, now, a.Client)
 	why := g.reasonFor(p, &a)
 	borrows := why == PoolFull && g.mayBorrow(p, a.Client)
 	if borrows {
@@ -348,12 +354,39 @@
 }
 
 // noteArrival records that a client uses a pool, whether it is admitted or not.
-func (p *pool) noteArrival(now time.Duration, client string) {
+func (g *Gate) noteArrival(p *pool, now time.Duration, client string) {
 	if now-p.spanStart >= rateSpan || p.recentClients[0] == nil {
+		g.names -= len(p.recentClients[1])
 		p.recentClients[0], p.recentClients[1], p.spanStart = map[string]bool{}, p.recentClients[0], now
 	}
-	if len(p.recentClients[0]) < maxClients {
+	if p.recentClients[0][client] || len(p.recentClients[0]) >= maxClients {
+		return
+	}
+	if g.names >= maxNames {
+		g.forgetUnused(now)
+	}
+	if g.names < maxNames {
 		p.recentClients[0][client] = true
+		g.names++
+	}
+}
+
+// forgetUnused forgets the clients of pools without arrivals for two spans, and those of these pools that nothing was
+// served from. It searches all pools, at most once in a span.
+func (g *Gate) forgetUnused(now time.Duration) {
+	if now-g.lastForget < rateSpan {
+		return
+	}
+	g.lastForget = now
+	for key, p := range g.pools {
+		if now-p.spanStart < 2*rateSpan {
+			continue
+		}
+		g.names -= len(p.recentClients[0]) + len(p.recentClients[1])
+		p.recentClients = [2]map[string]bool{}
+		if p.inFlight == 0 && p.lastServed == 0 {
+			delete(g.pools, key)
+		}
 	}
 }
 
