--- a/server/incoming.go
+++ b/server/incoming.go
@@ -17,8 +17,8 @@
 	// incomingCheckInterval is the interval of the checks for calls that are over their time.
 	incomingCheckInterval = 100 * time.Millisecond
 	// incomingCallBytes is the memory that is planned for an incomplete call. One may take up to maxRequestBytes.
-	incomingCallBytes                  = 256 << 10
-	minIncomingCalls, maxIncomingCalls = 16, 1024
+	incomingCallBytes                  = 1 << 20
+	minIncomingCalls, maxIncomingCalls = 8, 1024
 )
 
 // incoming bounds the calls whose request has not arrived as a whole: gRPC buffers what a client has sent of a request,
