--- a/lab/memory/unfinished_test.go
+++ b/lab/memory/unfinished_test.go
@@ -1,9 +1,7 @@
 package memory
 
 import (
-	"bytes"
 	"context"
-	"encoding/binary"
 	"net"
 	"os/exec"
 	"path/filepath"
@@ -12,9 +10,9 @@
 	"time"
 
 	"golang.org/x/net/http2"
-	"golang.org/x/net/http2/hpack"
 
 	pb "umberladder/proto/umberladder/v1"
+	"umberladder/standin/rawcall"
 )
 
 // TestMemoryWithUnfinishedRequests guards against calls that stop shortly before the end of a long request: the driver
@@ -67,20 +65,16 @@
 	defer nc.Close()
 	stop := context.AfterFunc(ctx, func() { nc.Close() })
 	defer stop()
-	nc.Write([]byte(http2.ClientPreface))
-	framer := http2.NewFramer(nc, nc)
-	framer.WriteSettings()
-	var block bytes.Buffer
-	headers := hpack.NewEncoder(&block)
-	for _, h := range [][2]string{{":method", "POST"}, {":scheme", "http"}, {":path", pb.Driver_Execute_FullMethodName}, {":authority", "driver"},
-		{"content-type", "application/grpc"}, {"te", "trailers"}} {
-		headers.WriteField(hpack.HeaderField{Name: h[0], Value: h[1]})
+	framer, err := rawcall.Open(nc)
+	if err != nil {
+		return
 	}
 	const stream = 1
-	framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: block.Bytes(), EndHeaders: true})
-	framer.WriteData(stream, false, binary.BigEndian.AppendUint32([]byte{0}, uint32(length)))
+	if rawcall.Begin(framer, stream, pb.Driver_Execute_FullMethodName, length) != nil {
+		return
+	}
 	const initialWindow, frameBytes = 65535, 16384
-	windows := map[uint32]int{0: initialWindow - 5, stream: initialWindow - 5}
+	windows := map[uint32]int{0: initialWindow - rawcall.PrefixBytes, stream: initialWindow - rawcall.PrefixBytes}
 	for left := length - 1; ; {
 		for left > 0 && windows[0] > 0 && windows[stream] > 0 {
 			n := min(left, windows[0], windows[stream], frameBytes)
--- a/server/incoming_test.go
+++ b/server/incoming_test.go
@@ -1,17 +1,15 @@
 package server_test
 
 import (
-	"bytes"
-	"encoding/binary"
 	"net"
 	"testing"
 	"time"
 
 	"golang.org/x/net/http2"
-	"golang.org/x/net/http2/hpack"
 
 	"umberladder/lab"
 	pb "umberladder/proto/umberladder/v1"
+	"umberladder/standin/rawcall"
 )
 
 // stalledCalls opens calls on one connection that send the start of a long request and no more, and returns a channel
@@ -23,19 +21,15 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { nc.Close() })
-	nc.Write([]byte(http2.ClientPreface))
-	framer := http2.NewFramer(nc, nc)
-	framer.WriteSettings()
+	framer, err := rawcall.Open(nc)
+	if err != nil {
+		t.Fatal(err)
+	}
 	for i := range calls {
 		stream := uint32(2*i + 1)
-		var block bytes.Buffer
-		headers := hpack.NewEncoder(&block)
-		for _, h := range [][2]string{{":method", "POST"}, {":scheme", "http"}, {":path", pb.Driver_Execute_FullMethodName}, {":authority", "driver"},
-			{"content-type", "application/grpc"}, {"te", "trailers"}} {
-			headers.WriteField(hpack.HeaderField{Name: h[0], Value: h[1]})
+		if err := rawcall.Begin(framer, stream, pb.Driver_Execute_FullMethodName, 1<<20); err != nil {
+			t.Fatal(err)
 		}
-		framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: block.Bytes(), EndHeaders: true})
-		framer.WriteData(stream, false, binary.BigEndian.AppendUint32([]byte{0}, 1<<20)) // a request of 1 MiB follows
 		framer.WriteData(stream, false, make([]byte, 1000))
 	}
 	ended := make(chan uint32, calls)
--- a/server/server.go
+++ b/server/server.go
@@ -183,7 +183,7 @@
 	s.grpc = grpc.NewServer(append(s.streams.options(),
 		grpc.MaxRecvMsgSize(maxRequestBytes), grpc.MaxHeaderListSize(maxMetadataBytes), grpc.MaxConcurrentStreams(uint32(s.settings.MaxStreams)),
 		grpc.StaticStreamWindowSize(streamWindow), grpc.StaticConnWindowSize(connWindow), grpc.ConnectionTimeout(connectionTimeout),
-		grpc.ReadBufferSize(connBuffer), grpc.WriteBufferSize(connBuffer), grpc.SharedWriteBuffer(true),
+		grpc.ReadBufferSize(connBuffer), grpc.WriteBufferSize(connBuffer),
 		// gRPC's default buffer pool has no size between 32 KiB and 1 MiB.
 		experimental.BufferPool(mem.NewTieredBufferPool(1<<8, 1<<12, 1<<14, 1<<15, 1<<16, 1<<17, 1<<18, 1<<19, 1<<20)),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
