pgwire: buffers for long messages are used again

Cause: a profile of that test has two thirds of the driver's time in the collector: near the memory limit it runs for every 40 messages or so, as each long one leaves its buffer and its text behind.

Fix: up to four buffers of 136 KiB are kept for the next long message.

--- a/pgwire/reader.go
+++ b/pgwire/reader.go
@@ -16,9 +16,37 @@
 // bufferSize is the initial size of a Reader's buffer, in bytes.
 const bufferSize = 4096
 
-// Buffers is a pool of read buffers of 4096 bytes. Readers share it so that a Reader that waits for its peer's next
-// message holds no buffer. The zero value is ready to use. It is safe for concurrent use.
-type Buffers struct{ pool sync.Pool }
+// Sizes of the buffers for long messages, in bytes, and how many unused ones are kept.
+const (
+	minLongBuffer  = 32 << 10 // for a shorter message, a buffer of its length is allocated
+	longBufferSize = 136 << 10
+	maxLongBuffers = 4
+)
+
+// Buffers is a pool of read buffers of 4096 bytes, and of some for long messages. Readers share it so that a Reader that
+// waits for its peer's next message holds no buffer. The zero value is ready to use. It is safe for concurrent use.
+type Buffers struct {
+	pool sync.Pool
+
+	mu   sync.Mutex
+	long [][]byte
+}
+
+// getLong returns a buffer for a message of n bytes with arbitrary content.
+func (b *Buffers) getLong(n int) []byte {
+	if n < minLongBuffer || n > longBufferSize {
+		return make([]byte, n)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	last := len(b.long) - 1
+	if last < 0 {
+		return make([]byte, n, longBufferSize)
+	}
+	buf := b.long[last]
+	b.long = b.long[:last]
+	return buf[:n]
+}
 
 // Get returns a buffer of 4096 bytes with arbitrary content. It does not block.
 func (b *Buffers) Get() []byte {
@@ -30,8 +58,15 @@
 
 // Put returns a buffer to the pool. A buffer of another capacity is left to the garbage collector.
 func (b *Buffers) Put(buf []byte) {
-	if cap(buf) == bufferSize {
+	switch cap(buf) {
+	case bufferSize:
 		b.pool.Put((*[bufferSize]byte)(buf[:bufferSize]))
+	case longBufferSize:
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if len(b.long) < maxLongBuffers {
+			b.long = append(b.long, buf)
+		}
 	}
 }
 
@@ -180,6 +215,9 @@
 	case len(r.buf) > bufferSize && left <= bufferSize:
 		short := make([]byte, bufferSize)
 		copy(short, r.buf[r.r:r.w])
+		if r.pooled != nil {
+			r.buffers.Put(r.buf)
+		}
 		r.buf, r.r, r.w = short, 0, left
 	}
 }
@@ -189,7 +227,12 @@
 	if r.r+n <= len(r.buf) {
 		return
 	}
-	long := make([]byte, n)
+	var long []byte
+	if r.pooled != nil {
+		long = r.buffers.getLong(n)
+	} else {
+		long = make([]byte, n)
+	}
 	r.r, r.w = 0, copy(long, r.buf[r.r:r.w])
 	r.buf = long
 }
