--- a/review/rig-2/case7.go
+++ b/review/rig-2/case7.go
@@ -2,18 +2,19 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
 func init() { cases["7"] = stale }
 
-// stale has sessions write and soon read what they wrote, and other clients read data that may be 200 ms old. Replicas lag
+// stale has sessions write and soon read what they wrote, and other clients read data that may be 500 ms old. Replicas lag
 // by 700 ms. With trouble, the wall clock of the members' machines steps forward by seconds.
 func stale(r *run) error {
 	const (
 		rounds     = 120
 		clockAhead = 5 * time.Second
-		bound      = 200 * time.Millisecond // age of data, of the settings
+		bound      = 500 * time.Millisecond // age of data, of the settings; 50 ms more on sockets
 	)
 	a, err := r.newAgent()
 	if err != nil {
@@ -24,7 +25,7 @@
 		return err
 	}
 	c.lag = 700 * time.Millisecond
-	d, err := r.startDriver(a, settings("client", "recent", 0.2))
+	d, err := r.startDriver(a, strings.Replace(settings("client", "recent", 0.2), `"oldest-data":[200,`, `"oldest-data":[500,`, 1))
 	if err != nil {
 		return err
 	}
