--- a/review/rig-2/case10.go
+++ b/review/rig-2/case10.go
@@ -18,13 +18,13 @@
 	tipMultiple  = 3.0                     // what a cold member bears, as a multiple of its present capacity
 	fallWindow   = time.Second             // for which it bears that
 	capacity     = 100.0                   // requests per second of a warm member
-	downTime     = 600 * time.Millisecond  // of a restart
+	goneAfter    = 700 * time.Millisecond  // after which the replaced member, which drains, is gone
 	clockBehind  = -time.Hour              // step of the wall clock
 	requestEvery = 2100 * time.Microsecond // 476 per second: 1.19 times the capacity of four warm members
 )
 
-// cold has clients read from a group of which one replica is restarted. With trouble, the wall clock of the members' machines
-// is stepped back by an hour before.
+// cold has clients read from a group of which one replica is replaced by a new one, which starts cold. With trouble, the wall
+// clock of the members' machines is stepped back by an hour before.
 func cold(r *run) error {
 	a, err := r.newAgent()
 	if err != nil {
@@ -49,14 +49,23 @@
 		c.stepClock(clockBehind)
 	}
 	time.Sleep(2 * time.Second)
-	m := members[1]
-	m.die()
-	time.Sleep(downTime)
-	back, err := c.restart(m)
+	old := members[1]
+	m, err := c.newMember("s-0009")
 	if err != nil {
 		return err
 	}
-	rev := a.put(back.entry("ready"))
+	c.mu.Lock()
+	m.boot = c.wall(m.started).Milliseconds()
+	c.mu.Unlock()
+	old.mu.Lock()
+	old.draining = true
+	old.mu.Unlock()
+	a.put(old.entry("draining"))
+	rev := a.put(m.entry("ready"))
+	time.AfterFunc(goneAfter, func() {
+		a.put(old.entry("gone"))
+		old.die()
+	})
 	time.Sleep(14 * time.Second)
 	load.stop()
 	told := a.toldAt(rev)
@@ -64,7 +73,7 @@
 		return errors.New("the driver was not told of the start")
 	}
 	r.log("told of the start of %s at %v; %d reads served, %d not", m.uid, r.since(told), load.served.Load(), load.other.Load())
-	requests := back.received()
+	requests := m.received()
 	peak, first := 0.0, 0
 	for last := range requests {
 		for requests[last].at.Sub(requests[first].at) > fallWindow {
@@ -73,7 +82,7 @@
 		if requests[first].at.Before(told) {
 			continue
 		}
-		age := requests[last].at.Sub(back.started)
+		age := requests[last].at.Sub(m.started)
 		share := min(1, coldFrom+(1-coldFrom)*float64(age)/float64(rampTime)) // at the end of the window, when it is highest
 		if share == 1 {
 			break
@@ -159,16 +168,3 @@
 	})
 	return l, nil
 }
-
-// restart starts a member that died again, cold, at its address.
-func (c *cluster) restart(m *member) (*member, error) {
-	back, err := c.listenAt(m.uid, m.listener.Addr().String())
-	if err != nil {
-		return nil, err
-	}
-	c.mu.Lock()
-	back.boot = c.wall(back.started).Milliseconds()
-	c.mu.Unlock()
-	c.run.log("%s is back, cold", m.uid)
-	return back, nil
-}
--- a/review/rig-2/member.go
+++ b/review/rig-2/member.go
@@ -78,11 +78,9 @@
 	text string
 }
 
-func (c *cluster) newMember(uid string) (*member, error) { return c.listenAt(uid, "127.0.0.1:0") }
-
-// listenAt starts a member at an address.
-func (c *cluster) listenAt(uid, address string) (*member, error) {
-	l, err := net.Listen("tcp", address)
+// newMember starts a member.
+func (c *cluster) newMember(uid string) (*member, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
